--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+BIN := bin
+PROGRAMS := radishweir radishweirctl standin load
+MODULES := lib $(PROGRAMS) proof
+
+.PHONY: build test demo lint generate
+
+build: ## Builds every program into bin/.
+	@mkdir -p $(BIN)
+	@for p in $(PROGRAMS); do go build -o $(BIN)/$$p ./$$p || exit 1; done
+
+test: build ## Runs every test with the race detector.
+	@.ci/test $(MODULES)
+
+demo: build ## Runs the whole system on loopback and prints a report.
+	@scripts/demo
+
+lint: ## Checks formatting, style and common mistakes.
+	@.ci/lint $(MODULES)
+
+generate: ## Regenerates lib/wire from its schema.
+	go build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=$(BIN)/protoc-gen-go --go_out=lib --go_opt=module=radishweir.org/lib -I lib/wire wire.proto
--- /dev/null
+++ b/lib/caller/caller.go
@@ -0,0 +1,262 @@
+// Package caller serves the callers of radishweir over HTTP.
+//
+// A job belongs to a service and a tenant. The tenant proves itself by a
+// bearer token of which the configuration holds only the hash.
+//
+//	POST   /v1/services/{service}/jobs       submit; waits unless ?wait=false
+//	GET    /v1/services/{service}/jobs/{id}  pull; waits with ?wait=true
+//	DELETE /v1/services/{service}/jobs/{id}  cancel
+//	POST   /v1/services/{service}/job-ids    fresh identifiers, ?count=N
+//	GET    /readyz                           200 while new jobs are welcome
+//
+// # Usage
+//
+//	s := &caller.Server{Address: addr, Jobs: forwarder, Services: configurer, Ready: ready}
+//	err := s.Run(ctx)
+//
+// Bodies are JSON in the forms of package wire, or protobuf with the content
+// type application/x-protobuf. Client is the other end.
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/forwarder"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a submission.
+	MaxBodyBytes = 16 << 20
+	// MaxTasks bounds the tasks of a job, whatever the configuration says.
+	MaxTasks = 390
+	// MaxIdentifiers bounds one block of fresh identifiers.
+	MaxIdentifiers = 1000
+	// headerTimeout bounds the time that a caller takes for its headers.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the time that a caller takes for its whole request.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout closes connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
+)
+
+// Jobs brings requests to the homes of their jobs; a forwarder.Forwarder is one.
+type Jobs interface {
+	Submit(ctx context.Context, r forwarder.Request) (*wire.JobAnswer, error)
+	Find(ctx context.Context, l *wire.Locate, domains []string, cancel bool) (*wire.JobAnswer, error)
+	Issue(n int) ([]string, error)
+}
+
+// Services finds configurations; a configurer.Configurer is one.
+type Services interface {
+	Service(name string) *wire.ServiceConfiguration
+}
+
+// Recorder counts and observes the requests of callers.
+type Recorder interface {
+	// Request counts one request with its HTTP status.
+	Request(service, tenant string, status int)
+	// Response observes the time from a submission to its answer.
+	Response(service, tenant string, d time.Duration)
+}
+
+// Server serves callers. Exported fields are set before Run.
+type Server struct {
+	// Address is the IP number and port to listen on.
+	Address string
+	// Jobs takes the requests.
+	Jobs Jobs
+	// Services holds the configurations.
+	Services Services
+	// Ready reports whether new jobs are welcome.
+	Ready func() bool
+	// Recorder counts requests.
+	Recorder Recorder
+	// Log receives events.
+	Log zerolog.Logger
+
+	listener net.Listener
+	server   *http.Server
+}
+
+// Listen binds the address.
+func (s *Server) Listen() error {
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.Address)
+	}
+	s.listener = l
+	s.server = &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return nil
+}
+
+// Run serves until Shutdown. Listen must have been called.
+func (s *Server) Run() error {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
+// Shutdown refuses new connections and waits for the open requests.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/services/{service}/jobs", s.authenticated(s.submit))
+	mux.HandleFunc("GET /v1/services/{service}/jobs/{id}", s.authenticated(s.pull))
+	mux.HandleFunc("DELETE /v1/services/{service}/jobs/{id}", s.authenticated(s.cancel))
+	mux.HandleFunc("POST /v1/services/{service}/job-ids", s.authenticated(s.issue))
+	mux.HandleFunc("GET /readyz", s.readyz)
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// session is one authenticated request.
+type session struct {
+	service *wire.ServiceConfiguration
+	tenant  *wire.Tenant
+}
+
+// handler answers an authenticated request or returns what to refuse it with.
+type handler func(w http.ResponseWriter, r *http.Request, c session) error
+
+// authenticated finds the service and the tenant before h.
+func (s *Server) authenticated(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rec := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		c, err := s.authenticate(r)
+		if err == nil {
+			err = h(rec, r, c)
+		}
+		if err != nil {
+			writeError(rec, r, err)
+		}
+		s.Recorder.Request(r.PathValue("service"), c.tenant.GetName(), rec.status)
+	}
+}
+
+// authenticate finds the tenant whose token hash matches.
+func (s *Server) authenticate(r *http.Request) (session, error) {
+	c := session{service: s.Services.Service(r.PathValue("service"))}
+	if c.service == nil {
+		return session{}, refuse(http.StatusNotFound, "the service is not known")
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return session{}, refuse(http.StatusUnauthorized, "a bearer token is required")
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	for _, t := range c.service.GetTenants() {
+		if subtle.ConstantTimeCompare(hash, []byte(t.GetTokenSha256())) == 1 {
+			c.tenant = t
+			return c, nil
+		}
+	}
+	return session{}, refuse(http.StatusUnauthorized, "the bearer token is not known")
+}
+
+// submit takes a job.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, c session) error {
+	began := time.Now()
+	job, err := readJob(w, r)
+	if err != nil {
+		return err
+	}
+	if err := check(job, c.service); err != nil {
+		return err
+	}
+	wait := r.URL.Query().Get("wait") != "false"
+	answer, err := s.Jobs.Submit(r.Context(), forwarder.Request{
+		Tenant: c.tenant, Service: c.service, Job: job, Wait: wait,
+	})
+	if err != nil {
+		answer = refusal(job.GetJobId(), err)
+	}
+	if wait {
+		s.Recorder.Response(c.service.GetService(), c.tenant.GetName(), time.Since(began))
+	}
+	return writeAnswer(w, r, answer)
+}
+
+// pull returns the answer or the progress of a job.
+func (s *Server) pull(w http.ResponseWriter, r *http.Request, c session) error {
+	return s.find(w, r, c, false)
+}
+
+// cancel withdraws a job.
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request, c session) error {
+	return s.find(w, r, c, true)
+}
+
+func (s *Server) find(w http.ResponseWriter, r *http.Request, c session, cancel bool) error {
+	l := &wire.Locate{
+		Tenant: c.tenant.GetName(), Service: c.service.GetService(), JobId: r.PathValue("id"),
+		Wait: r.URL.Query().Get("wait") == "true",
+	}
+	answer, err := s.Jobs.Find(r.Context(), l, c.service.GetFailureDomains(), cancel)
+	if errors.Is(err, forwarder.ErrUnknownJob) {
+		return refuse(http.StatusNotFound, "the job is not known")
+	}
+	if err != nil {
+		answer = refusal(l.GetJobId(), err)
+	}
+	return writeAnswer(w, r, answer)
+}
+
+// issue returns fresh identifiers.
+func (s *Server) issue(w http.ResponseWriter, r *http.Request, _ session) error {
+	count := 1
+	if text := r.URL.Query().Get("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > MaxIdentifiers {
+			return refuse(http.StatusBadRequest, "count must be a whole number from 1 to 1000")
+		}
+		count = n
+	}
+	ids, err := s.Jobs.Issue(count)
+	if err != nil {
+		return err
+	}
+	return writeMessage(w, r, http.StatusOK, &wire.IdentifierBlock{JobIds: ids})
+}
+
+// refusal is the answer to a job that failed with err before it had a home.
+func refusal(id string, err error) *wire.JobAnswer {
+	a := &wire.JobAnswer{
+		JobId: id, State: wire.JobState_failed, Verdict: classifier.Of(err), Reason: err.Error(),
+	}
+	if e, ok := classifier.As(err); ok {
+		a.RetryAfterMs = uint32(e.RetryAfter.Milliseconds())
+	}
+	return a
+}
--- /dev/null
+++ b/lib/caller/codec.go
@@ -0,0 +1,164 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/placer"
+	"radishweir.org/lib/wire"
+)
+
+// Content types of bodies.
+const (
+	contentJSON     = "application/json"
+	contentProtobuf = "application/x-protobuf"
+)
+
+// StatusError is a request that was refused with a 4xx status.
+type StatusError struct {
+	// Status is the HTTP status.
+	Status int
+	// Reason is one line for a person.
+	Reason string
+}
+
+// Error returns the reason.
+func (e *StatusError) Error() string { return e.Reason }
+
+func refuse(status int, reason string) error { return &StatusError{status, reason} }
+
+// statusWriter remembers the status for the metric.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// readJob decodes a submission.
+func readJob(w http.ResponseWriter, r *http.Request) (*wire.JobRequest, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the body exceeds 16 MiB")
+	}
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "the body broke off")
+	}
+	return DecodeJob(r.Header.Get("Content-Type"), data)
+}
+
+// DecodeJob reads a submission in the form that contentType names.
+func DecodeJob(contentType string, data []byte) (*wire.JobRequest, error) {
+	job := &wire.JobRequest{}
+	if contentType == contentProtobuf {
+		if err := proto.Unmarshal(data, job); err != nil {
+			return nil, refuse(http.StatusBadRequest, "the body is no job in protobuf")
+		}
+		return job, nil
+	}
+	if err := protojson.Unmarshal(data, job); err != nil {
+		return nil, refuse(http.StatusBadRequest, "the body is no job in JSON: "+oneLine(err))
+	}
+	return job, nil
+}
+
+// oneLine keeps a decoder's message on one line.
+func oneLine(err error) string {
+	return strconv.QuoteToGraphic(err.Error())
+}
+
+// check refuses a submission that breaks a limit, before anything is done.
+func check(j *wire.JobRequest, s *wire.ServiceConfiguration) error {
+	limit := MaxTasks
+	if n := int(s.GetMaxTasks()); n > 0 {
+		limit = min(limit, n)
+	}
+	switch {
+	case j.GetService() != "" && j.GetService() != s.GetService():
+		return refuse(http.StatusBadRequest, "the body names another service than the path")
+	case len(j.GetTasks()) == 0:
+		return refuse(http.StatusBadRequest, "a job needs at least one task")
+	case len(j.GetTasks()) > limit:
+		return refuse(http.StatusBadRequest, "a job may have at most "+strconv.Itoa(limit)+" tasks")
+	case j.GetJobId() != "" && !placer.ValidIdentifier(j.GetJobId()):
+		return refuse(http.StatusBadRequest, "job_id must be 1 to 128 letters, digits, or . : _ -")
+	case j.GetJobId() != "" && !s.GetRepeatable() && j.GetAttempt() == 0:
+		return refuse(http.StatusBadRequest, "attempt is required: 1 on the first submission of a job_id, one more each time")
+	case j.GetDeadline() != nil && j.GetDeadline().CheckValid() != nil:
+		return refuse(http.StatusBadRequest, "deadline is no valid time")
+	}
+	for i, t := range j.GetTasks() {
+		if n := int(s.GetMaxInputBytes()); n > 0 && len(t.GetInput()) > n {
+			return refuse(http.StatusBadRequest, "the input of task "+strconv.Itoa(i)+" exceeds "+strconv.Itoa(n)+" bytes")
+		}
+	}
+	return nil
+}
+
+// writeAnswer sends an answer with the status that fits it.
+func writeAnswer(w http.ResponseWriter, r *http.Request, a *wire.JobAnswer) error {
+	if ms := a.GetRetryAfterMs(); ms > 0 {
+		d := time.Duration(ms) * time.Millisecond
+		w.Header().Set("Retry-After", strconv.Itoa(int((d+time.Second-1)/time.Second)))
+	}
+	return writeMessage(w, r, statusOf(a), a)
+}
+
+// statusOf maps an answer to an HTTP status.
+func statusOf(a *wire.JobAnswer) int {
+	switch {
+	case a.GetState() == wire.JobState_complete:
+		return http.StatusOK
+	case a.GetState() != wire.JobState_failed:
+		return http.StatusAccepted
+	case a.GetVerdict() == classifier.NotRun:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// writeMessage encodes m in the form that the caller accepts.
+func writeMessage(w http.ResponseWriter, r *http.Request, status int, m proto.Message) error {
+	kind, encode := contentJSON, protojson.MarshalOptions{UseProtoNames: true}.Marshal
+	if r.Header.Get("Accept") == contentProtobuf {
+		kind, encode = contentProtobuf, proto.Marshal
+	}
+	data, err := encode(m)
+	if err != nil {
+		return refuse(http.StatusInternalServerError, "the answer cannot be encoded")
+	}
+	w.Header().Set("Content-Type", kind)
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+	return nil
+}
+
+// errorBody is the JSON body of a refused request.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// writeError sends a refusal as one line of JSON.
+func writeError(w http.ResponseWriter, _ *http.Request, err error) {
+	status := http.StatusServiceUnavailable
+	var e *StatusError
+	if errors.As(err, &e) {
+		status = e.Status
+	}
+	w.Header().Set("Content-Type", contentJSON)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody{err.Error()})
+}
--- /dev/null
+++ b/lib/classifier/classifier.go
@@ -0,0 +1,105 @@
+// Package classifier says, for each failed request, whether it may have run.
+//
+// Every error that leaves the upstream, entry and tracker packages carries a
+// verdict. A caller uses it to decide whether a retry is safe.
+//
+// # Usage
+//
+//	err := classifier.New(classifier.NotRun, "no upstream is live")
+//	if classifier.Of(err) == classifier.NotRun {
+//		// The request can go elsewhere.
+//	}
+package classifier
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/wire"
+)
+
+// Verdict says whether a request may have run.
+type Verdict = wire.Verdict
+
+// Verdicts, from the least to the most that may have happened.
+const (
+	NotRun     = wire.Verdict_not_run
+	MayHaveRun = wire.Verdict_may_have_run
+	Ran        = wire.Verdict_ran
+)
+
+// Error is a failure with its verdict and advice on when to come back.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Reason is one line for a person.
+	Reason string
+	// RetryAfter is the wait after which a new try is worth while; 0 if unknown.
+	RetryAfter time.Duration
+	// Err is the cause, if there is one.
+	Err error
+}
+
+// Error returns the reason and the cause in one line.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Reason
+	}
+	return e.Reason + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an error with verdict v and the given reason.
+func New(v Verdict, reason string) *Error {
+	return &Error{Verdict: v, Reason: reason}
+}
+
+// Wrap returns an error with verdict v, the given reason and a cause.
+func Wrap(v Verdict, err error, reason string) *Error {
+	return &Error{Verdict: v, Reason: reason, Err: err}
+}
+
+// Later returns a NotRun error that advises a wait of d.
+func Later(reason string, d time.Duration) *Error {
+	return &Error{Verdict: NotRun, Reason: reason, RetryAfter: d}
+}
+
+// Of returns the verdict of err. An error that carries none may have run.
+func Of(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
+
+// Worst returns the verdict of a whole whose parts are vs: Ran when every part
+// ran, NotRun when none did, MayHaveRun otherwise.
+func Worst(vs []Verdict) Verdict {
+	ran, notRun := 0, 0
+	for _, v := range vs {
+		switch v {
+		case Ran:
+			ran++
+		case NotRun:
+			notRun++
+		}
+	}
+	switch len(vs) {
+	case notRun:
+		return NotRun
+	case ran:
+		return Ran
+	}
+	return MayHaveRun
+}
+
+// As returns the Error inside err, if there is one.
+func As(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/lib/dispatcher/decision.go
@@ -0,0 +1,260 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/upstream"
+	"radishweir.org/lib/watcher"
+)
+
+const (
+	// inquiryInterval is the mean time between questions after a lost answer.
+	inquiryInterval = 200 * time.Millisecond
+	// inquiryMisses is the number of questions without an answer after which
+	// the task's fate is left open.
+	inquiryMisses = 4
+	// inquiryTimeout bounds one question.
+	inquiryTimeout = time.Second
+)
+
+// decide ends an attempt and settles its task or queues it again.
+func (p *Pool) decide(a *attempt, res upstream.Result, err error) {
+	t := a.task
+	verdict := classifier.Ran
+	if err != nil {
+		verdict = classifier.Of(err)
+	}
+	first, left := t.end(a, verdict == classifier.NotRun)
+	if !first {
+		if err == nil {
+			p.Recorder.Message(p.name, t.Tenant, MessageDropped)
+		}
+		return
+	}
+	a.stop()
+	p.learn(a, res, err)
+	switch {
+	case err == nil:
+		p.succeed(t, res)
+	case left > 0:
+		// Another attempt at the task still runs and will decide.
+	default:
+		p.fail(a, verdict, err)
+	}
+	p.dispatch()
+}
+
+// stop ends the attempt's timers.
+func (a *attempt) stop() {
+	a.task.mu.Lock()
+	defer a.task.mu.Unlock()
+	if a.watch != nil {
+		a.watch.Stop()
+	}
+	if a.hedge != nil {
+		a.hedge.Stop()
+	}
+}
+
+// succeed settles a task and stops its other attempts.
+func (p *Pool) succeed(t *Task, res upstream.Result) {
+	if !p.settle(t, Outcome{Verdict: classifier.Ran, OK: true, Output: res.Output}) {
+		p.Recorder.Message(p.name, t.Tenant, MessageDropped)
+		return
+	}
+	p.stopRunning(t)
+}
+
+// fail settles a task whose last attempt failed, or queues it again.
+func (p *Pool) fail(a *attempt, verdict classifier.Verdict, err error) {
+	t := a.task
+	repeatable := p.cfg.Load().GetRepeatable()
+	t.mu.Lock()
+	t.ran = t.ran || verdict == classifier.Ran
+	tries := t.attempts
+	t.mu.Unlock()
+	again := verdict == classifier.NotRun || repeatable && p.retries.spend()
+	if again && tries < maxAttempts && time.Now().Before(t.Deadline) && p.requeue(t) {
+		return
+	}
+	p.settle(t, Outcome{Verdict: t.verdict(), Reason: err.Error()})
+}
+
+// requeue lets the task wait again; false when it has ended.
+func (p *Pool) requeue(t *Task) bool {
+	if !t.wait() {
+		return false
+	}
+	p.mu.Lock()
+	p.queue.Push(t.Tenant, t.Weight, t.Deadline, t)
+	p.mu.Unlock()
+	return true
+}
+
+// settle ends a task and its place among the tenant's open tasks.
+func (p *Pool) settle(t *Task, o Outcome) bool {
+	if !t.seal() {
+		return false
+	}
+	p.finish(t, o)
+	return true
+}
+
+// finish reports the outcome of a task that was sealed and takes it off the
+// tenant's open tasks.
+func (p *Pool) finish(t *Task, o Outcome) {
+	t.mu.Lock()
+	o.Upstream = t.last
+	t.mu.Unlock()
+	p.mu.Lock()
+	p.open[t.Tenant]--
+	if p.open[t.Tenant] == 0 {
+		delete(p.open, t.Tenant)
+	}
+	p.mu.Unlock()
+	t.Settle(o)
+}
+
+// learn frees the slot and updates what is known of the upstream.
+func (p *Pool) learn(a *attempt, res upstream.Result, err error) {
+	d := time.Since(a.began)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := a.slot
+	s.busy--
+	p.running--
+	if res.Leaving && !s.Leaving {
+		s.Leaving = true
+		p.Log.Info().Str("service", p.name).Str("upstream", s.Name).Msg("upstream_leaving")
+	}
+	switch {
+	case err == nil:
+		p.failing -= learnRate * p.failing
+		s.succeed(d)
+		p.mean += learnRate / 4 * (d.Seconds() - p.mean)
+		p.runs.add(d)
+		if a.kind == MessageStart {
+			p.retries.earn()
+			p.hedges.earn()
+		}
+		p.Recorder.Run(p.name, a.task.Tenant, d)
+	case errors.Is(err, context.Canceled) && !a.silent.Load():
+		// The attempt was stopped from here.
+	case classifier.Of(err) == classifier.NotRun:
+		p.Recorder.Message(p.name, a.task.Tenant, MessageRefused)
+		if res.Busy {
+			s.ejectedUntil = time.Now().Add(watcher.Jitter(p.meanRun() / 4))
+			return
+		}
+		p.blame(s)
+	default:
+		p.failing += learnRate * (1 - p.failing)
+		p.blame(s)
+	}
+}
+
+// blame counts a failure of an upstream and ejects it on evidence, unless so
+// many fail that the cause lies elsewhere; the caller holds the lock.
+func (p *Pool) blame(s *slots) {
+	if !s.fail() || s.removed {
+		return
+	}
+	now := time.Now()
+	out := 1
+	for _, o := range p.order {
+		if o != s && now.Before(o.ejectedUntil) {
+			out++
+		}
+	}
+	if 2*out > len(p.order) {
+		return
+	}
+	s.eject(now)
+	p.Log.Warn().Str("service", p.name).Str("upstream", s.Name).Int("failures", s.failures).
+		Dur("for_ms", s.ejection).Msg("upstream_ejected")
+	time.AfterFunc(s.ejection, p.dispatch)
+}
+
+// mustInquire reports whether the fate of a not repeatable task is open.
+func (p *Pool) mustInquire(a *attempt, err error) bool {
+	return err != nil && classifier.Of(err) == classifier.MayHaveRun &&
+		!p.cfg.Load().GetRepeatable() && !a.task.settled()
+}
+
+// inquire asks on fresh connections what became of a task whose answer was
+// lost, until it ended, its deadline passed or nobody knows. It keeps the slot.
+func (p *Pool) inquire(ctx context.Context, a *attempt, cause error) (upstream.Result, error) {
+	for misses := 0; misses < inquiryMisses && ctx.Err() == nil; {
+		res, running, err := p.ask(ctx, a)
+		switch {
+		case running:
+			misses = 0
+		case err == nil || classifier.Of(err) != classifier.MayHaveRun:
+			return res, err
+		default:
+			misses++
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watcher.Jitter(inquiryInterval)):
+		}
+	}
+	return upstream.Result{}, cause
+}
+
+// ask puts one question about a task to its upstream.
+func (p *Pool) ask(ctx context.Context, a *attempt) (upstream.Result, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	p.Recorder.Message(p.name, a.task.Tenant, MessageStatus)
+	return p.Client.Status(ctx, a.slot.Address, p.wireTask(a))
+}
+
+// cancel withdraws tasks.
+func (p *Pool) cancel(tasks []*Task, stop bool) {
+	ended := make(map[*Task]bool, len(tasks))
+	for _, t := range tasks {
+		if p.withdraw(t, stop) {
+			ended[t] = true
+		}
+	}
+	p.mu.Lock()
+	p.queue.Remove(func(t *Task) bool { return ended[t] })
+	p.mu.Unlock()
+}
+
+// withdraw settles a task that no upstream has seen. With stop it also settles
+// one that may run, and stops it. It reports whether the task was settled.
+func (p *Pool) withdraw(t *Task, stop bool) bool {
+	v, ok := t.close(stop)
+	if !ok {
+		return false
+	}
+	o := Outcome{Verdict: v, Reason: "withdrawn before its start"}
+	if v != classifier.NotRun {
+		o.Reason = "stopped while it ran"
+		p.stopRunning(t)
+	}
+	p.finish(t, o)
+	return true
+}
+
+// stopRunning stops the attempts of an ended task at their upstreams.
+func (p *Pool) stopRunning(t *Task) {
+	t.mu.Lock()
+	running := append([]*attempt(nil), t.running...)
+	t.mu.Unlock()
+	for _, a := range running {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
+			defer cancel()
+			p.Recorder.Message(p.name, t.Tenant, MessageCancel)
+			_ = p.Client.Cancel(ctx, a.slot.Address, t.ID)
+			a.cancel()
+		}()
+	}
+}
--- /dev/null
+++ b/lib/entry/client.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/proto"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/wire"
+)
+
+// Client calls other entries over one connection to each of them.
+type Client struct {
+	// TLS is the configuration from LoadTLS.
+	TLS *tls.Config
+
+	mu    sync.Mutex
+	links map[Peer]*link
+}
+
+// link is the connection to one peer; its lock serializes dialing.
+type link struct {
+	mu   sync.Mutex
+	conn *quic.Conn
+}
+
+// Call sends q to p and waits for the reply. Its error is NotRun when nothing
+// was written and MayHaveRun when the peer may have received the request.
+func (c *Client) Call(ctx context.Context, p Peer, q *wire.Envelope) (*wire.Reply, error) {
+	data, err := proto.Marshal(q)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.NotRun, err, "the request cannot be encoded")
+	}
+	conn, err := c.connect(ctx, p)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.NotRun, err, "the entry cannot be reached")
+	}
+	st, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.NotRun, err, "the entry cannot be reached")
+	}
+	defer context.AfterFunc(ctx, func() { abort(st) })()
+	if _, err := st.Write(data); err != nil {
+		abort(st)
+		return nil, classifier.Wrap(verdict(err), err, "the entry fell silent")
+	}
+	if err := st.Close(); err != nil {
+		return nil, classifier.Wrap(verdict(err), err, "the entry fell silent")
+	}
+	r := &wire.Reply{}
+	if err := readMessage(st, r); err != nil {
+		return nil, classifier.Wrap(verdict(err), err, "the entry fell silent")
+	}
+	return r, nil
+}
+
+// verdict tells a request that the peer did not look at from others.
+func verdict(err error) classifier.Verdict {
+	var se *quic.StreamError
+	if errors.As(err, &se) && se.Remote && se.ErrorCode == codeNotProcessed {
+		return classifier.NotRun
+	}
+	return classifier.MayHaveRun
+}
+
+// abort gives up both directions of a stream.
+func abort(st *quic.Stream) {
+	st.CancelRead(codeFailed)
+	st.CancelWrite(codeFailed)
+}
+
+// connect returns a live connection to p, dialing one if there is none.
+func (c *Client) connect(ctx context.Context, p Peer) (*quic.Conn, error) {
+	l := c.link(p)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.Context().Err() == nil {
+		return l.conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, p.Address, c.TLS.Clone(), quicConfig())
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", p.Address)
+	}
+	if name := conn.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName; name != p.Name {
+		_ = conn.CloseWithError(codeRefused, "name")
+		return nil, errors.Errorf("%s is %s, not %s", p.Address, name, p.Name)
+	}
+	l.conn = conn
+	return conn, nil
+}
+
+func (c *Client) link(p Peer) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links == nil {
+		c.links = make(map[Peer]*link)
+	}
+	l := c.links[p]
+	if l == nil {
+		l = &link{}
+		c.links[p] = l
+	}
+	return l
+}
+
+// Forget closes the connections to every peer that keep does not accept.
+func (c *Client) Forget(keep func(Peer) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for p, l := range c.links {
+		if keep(p) {
+			continue
+		}
+		l.close()
+		delete(c.links, p)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.Forget(func(Peer) bool { return false })
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(codeStopped, "closed")
+	}
+}
--- /dev/null
+++ b/lib/entry/server.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"radishweir.org/lib/wire"
+)
+
+// Server answers requests of other entries. Exported fields are set before Run.
+type Server struct {
+	// Address is the IP number and port to listen on.
+	Address string
+	// TLS is the configuration from LoadTLS.
+	TLS *tls.Config
+	// Handler answers the requests.
+	Handler Handler
+	// Log receives events.
+	Log zerolog.Logger
+	// Refused is called for each connection that fails the handshake.
+	Refused func()
+
+	listener *quic.Listener
+	active   atomic.Int64
+	closing  atomic.Bool
+	mu       sync.Mutex
+	conns    map[*quic.Conn]bool
+}
+
+// Listen binds the address, which proves that no earlier process still holds it.
+func (s *Server) Listen() error {
+	cfg := s.TLS.Clone()
+	cfg.VerifyConnection = nil
+	l, err := quic.ListenAddr(s.Address, cfg, quicConfig())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.Address)
+	}
+	s.listener = l
+	return nil
+}
+
+// Run accepts connections until ctx ends. Listen must have been called.
+func (s *Server) Run(ctx context.Context) error {
+	defer func() { _ = s.listener.Close() }()
+	for {
+		c, err := s.listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		go s.serve(ctx, c)
+	}
+}
+
+// Shutdown goes on answering until no request has come for a while, then
+// refuses further ones and closes the connections. Peers whose requests were
+// refused learn that they were not processed.
+func (s *Server) Shutdown(ctx context.Context) {
+	quietSince := time.Now()
+	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
+		if s.active.Load() > 0 {
+			quietSince = time.Now()
+		}
+		time.Sleep(quietTime / 10)
+	}
+	s.closing.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.CloseWithError(codeStopped, "stopped")
+	}
+}
+
+// hold keeps a connection for Shutdown.
+func (s *Server) hold(c *quic.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*quic.Conn]bool)
+	}
+	s.conns[c] = true
+}
+
+func (s *Server) drop(c *quic.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// serve answers the streams of one connection.
+func (s *Server) serve(ctx context.Context, c *quic.Conn) {
+	s.hold(c)
+	defer s.drop(c)
+	name, err := peerName(ctx, c)
+	if err != nil {
+		s.refuse(c, err)
+		return
+	}
+	for {
+		st, err := c.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		if s.closing.Load() {
+			st.CancelRead(codeNotProcessed)
+			st.CancelWrite(codeNotProcessed)
+			continue
+		}
+		s.active.Add(1)
+		go s.answer(ctx, name, st)
+	}
+}
+
+// peerName waits for the handshake and returns the name in the certificate.
+// A server sees a connection before the client's certificate is checked.
+func peerName(ctx context.Context, c *quic.Conn) (string, error) {
+	select {
+	case <-c.HandshakeComplete():
+	case <-c.Context().Done():
+		return "", errors.Wrap(context.Cause(c.Context()), "handshake")
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+	certs := c.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return "", errors.New("no certificate")
+	}
+	return certs[0].Subject.CommonName, nil
+}
+
+func (s *Server) refuse(c *quic.Conn, err error) {
+	if s.Refused != nil {
+		s.Refused()
+	}
+	s.Log.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("entry_handshake_refused")
+	_ = c.CloseWithError(codeRefused, "handshake")
+}
+
+// answer serves one request.
+func (s *Server) answer(ctx context.Context, from string, st *quic.Stream) {
+	defer s.active.Add(-1)
+	defer func() { _ = st.Close() }()
+	q := &wire.Envelope{}
+	if err := readMessage(st, q); err != nil {
+		st.CancelWrite(codeFailed)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(st.Context(), cancel)()
+	data, err := proto.Marshal(s.Handler.Handle(ctx, from, q))
+	if err != nil {
+		st.CancelWrite(codeFailed)
+		return
+	}
+	_, _ = st.Write(data)
+}
--- /dev/null
+++ b/lib/forwarder/forwarder.go
@@ -0,0 +1,229 @@
+// Package forwarder brings each request of a caller to the home of its job.
+//
+// The identifier of a job decides its home. A request that arrives elsewhere
+// is sent on once. When the home cannot be reached, a job of a repeatable
+// service runs here; any other is refused at once, with the verdict that holds
+// for the identifier: not_run only if this was the first attempt and nothing
+// was written to the home.
+//
+// # Usage
+//
+//	f := &forwarder.Forwarder{Placer: p, Members: r, Tracker: t, Caller: c}
+//	answer, err := f.Submit(ctx, forwarder.Request{...})
+package forwarder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/entry"
+	"radishweir.org/lib/placer"
+	"radishweir.org/lib/registrar"
+	"radishweir.org/lib/tracker"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// searchLimit is how long a home is looked for while the table changes.
+	searchLimit = 2 * time.Second
+	// searchInterval is the time between two looks.
+	searchInterval = 25 * time.Millisecond
+	// absentAdvice is the wait advised while a home cannot be reached.
+	absentAdvice = 2 * time.Second
+)
+
+// ErrUnknownJob reports a job that its home does not remember.
+var ErrUnknownJob = errors.New("the job is not known")
+
+// Placer names the home of a shard.
+type Placer interface {
+	Owner(s placer.Shard) (*wire.ShardOwner, bool)
+	Own(o *wire.ShardOwner) bool
+	Issue(number uint64) (string, bool)
+}
+
+// Members finds an entry by name.
+type Members interface {
+	Member(name string) (registrar.Member, bool)
+}
+
+// Caller sends requests to other entries.
+type Caller interface {
+	Call(ctx context.Context, p entry.Peer, q *wire.Envelope) (*wire.Reply, error)
+}
+
+// Recorder counts messages between entries.
+type Recorder interface {
+	// Forward counts one message to a home with its result.
+	Forward(service, tenant, result string)
+}
+
+// Request is one submission by an authenticated tenant.
+type Request struct {
+	// Tenant is the owner of the job.
+	Tenant *wire.Tenant
+	// Service is the configuration in force.
+	Service *wire.ServiceConfiguration
+	// Job is the submission; its identifier may be empty.
+	Job *wire.JobRequest
+	// Wait is true when the caller waits for the end of the job.
+	Wait bool
+}
+
+// Forwarder serves callers. Exported fields are set before the first call.
+type Forwarder struct {
+	// Placer names the homes.
+	Placer Placer
+	// Members finds their addresses.
+	Members Members
+	// Tracker holds the jobs whose home is here.
+	Tracker *tracker.Tracker
+	// Caller reaches the other entries.
+	Caller Caller
+	// Recorder counts messages.
+	Recorder Recorder
+
+	issued atomic.Uint64
+}
+
+// Issue returns n fresh identifiers.
+func (f *Forwarder) Issue(n int) ([]string, error) {
+	ids := make([]string, 0, n)
+	for range n {
+		id, ok := f.Placer.Issue(f.issued.Add(1))
+		if !ok {
+			return nil, classifier.Later("no shard table is known yet", absentAdvice)
+		}
+		ids = append(ids, id)
+	}
+	return ids, nil
+}
+
+// complete fills in what the caller may leave out.
+func (f *Forwarder) complete(r *Request) error {
+	j := r.Job
+	j.Service = r.Service.GetService()
+	if j.GetDeadline() == nil {
+		d := time.Duration(r.Service.GetDefaultDeadlineMs()) * time.Millisecond
+		j.Deadline = timestamppb.New(time.Now().Add(d))
+	}
+	if j.GetJobId() != "" {
+		return nil
+	}
+	ids, err := f.Issue(1)
+	if err != nil {
+		return err
+	}
+	j.JobId, j.Attempt = ids[0], 1
+	return nil
+}
+
+// Submit brings a job to its home and returns its answer, or its progress if
+// the caller does not wait. An error means that the home gave no answer.
+func (f *Forwarder) Submit(ctx context.Context, r Request) (*wire.JobAnswer, error) {
+	if err := f.complete(&r); err != nil {
+		return nil, err
+	}
+	s, ok := placer.Place(r.Tenant.GetName(), r.Job.GetJobId(), r.Service.GetFailureDomains())
+	if !ok {
+		return nil, classifier.Later("the service has no failure domain", absentAdvice)
+	}
+	t := &trip{Forwarder: f, request: r, shard: s, until: time.Now().Add(searchLimit)}
+	answer, err := t.run(ctx)
+	if err != nil && r.Service.GetRepeatable() && t.lost(err) {
+		return f.submitAt(ctx, tracker.Local, r, 0)
+	}
+	return answer, err
+}
+
+// submitAt hands the job to the own tracker.
+func (f *Forwarder) submitAt(ctx context.Context, s placer.Shard, r Request, delivered uint64) (*wire.JobAnswer, error) {
+	j, err := f.Tracker.Submit(ctx, s, tracker.Submission{
+		Tenant: r.Tenant.GetName(), Weight: r.Tenant.GetWeight(), Service: r.Service,
+		Request: r.Job, DeliveredEpoch: delivered,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !r.Wait {
+		return j.Answer(), nil
+	}
+	return j.Wait(ctx), nil
+}
+
+// Find returns the answer or progress of a job, and withdraws it first if
+// cancel is set.
+func (f *Forwarder) Find(ctx context.Context, l *wire.Locate, domains []string, cancel bool) (*wire.JobAnswer, error) {
+	s, ok := placer.Place(l.GetTenant(), l.GetJobId(), domains)
+	if !ok {
+		return nil, ErrUnknownJob
+	}
+	if a, err := f.FindAt(ctx, s, l, cancel); err == nil {
+		return a, nil
+	}
+	if a, err := f.FindAt(ctx, tracker.Local, l, cancel); err == nil {
+		return a, nil
+	}
+	owner, ok := f.Placer.Owner(s)
+	if ok && f.Placer.Own(owner) {
+		return nil, ErrUnknownJob
+	}
+	m, known := f.Members.Member(owner.GetName())
+	if !ok || !known {
+		return nil, classifier.Wrap(classifier.MayHaveRun, errAbsent, "the job's home cannot be reached")
+	}
+	return f.ask(ctx, m, l, cancel)
+}
+
+// ask sends a pull or a cancellation to the home.
+func (f *Forwarder) ask(ctx context.Context, m registrar.Member, l *wire.Locate, cancel bool) (*wire.JobAnswer, error) {
+	q := &wire.Envelope{Body: &wire.Envelope_Pull{Pull: l}}
+	if cancel {
+		q = &wire.Envelope{Body: &wire.Envelope_Cancel{Cancel: l}}
+	}
+	reply, err := f.Caller.Call(ctx, m.Peer(), q)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.MayHaveRun, err, "the job's home cannot be reached")
+	}
+	if !reply.GetFound() {
+		return nil, ErrUnknownJob
+	}
+	return reply.GetAnswer(), nil
+}
+
+// FindAt looks a job up in one of the own shards.
+func (f *Forwarder) FindAt(ctx context.Context, s placer.Shard, l *wire.Locate, cancel bool) (*wire.JobAnswer, error) {
+	j, _, err := f.Tracker.Find(s, l.GetTenant(), l.GetJobId())
+	if err != nil {
+		return nil, err
+	}
+	if j == nil || j.Service() != l.GetService() {
+		return nil, ErrUnknownJob
+	}
+	if runner := j.Runner(); cancel && runner != "" {
+		return f.cancelAt(ctx, runner, l)
+	}
+	if cancel {
+		j.Cancel("the caller withdrew it")
+	}
+	if l.GetWait() || cancel {
+		return j.Wait(ctx), nil
+	}
+	return j.Answer(), nil
+}
+
+// cancelAt passes a cancellation to the entry that still runs the job.
+func (f *Forwarder) cancelAt(ctx context.Context, runner string, l *wire.Locate) (*wire.JobAnswer, error) {
+	m, ok := f.Members.Member(runner)
+	if !ok {
+		return nil, ErrUnknownJob
+	}
+	return f.ask(ctx, m, l, true)
+}
+
+var errAbsent = errors.New("no entry is its home")
--- /dev/null
+++ b/lib/forwarder/trip.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/placer"
+	"radishweir.org/lib/tracker"
+	"radishweir.org/lib/wire"
+)
+
+// Results of a message to a home, for the metric.
+const (
+	resultAnswered = "answered"
+	resultNotHome  = "not_home"
+	resultFailed   = "failed"
+)
+
+// trip is the way of one submission to its home.
+type trip struct {
+	*Forwarder
+	request Request
+	shard   placer.Shard
+	// until ends the search for a home.
+	until time.Time
+	// reached is the shard's epoch in which the submission may have got to a
+	// home; 0 if it got to none.
+	reached uint64
+	// resent is true after such a submission was sent again.
+	resent bool
+}
+
+// run follows the table until a home answers or the search ends.
+func (t *trip) run(ctx context.Context) (*wire.JobAnswer, error) {
+	for {
+		answer, err := t.step(ctx)
+		if !again(err) {
+			return answer, err
+		}
+		if !time.Now().Before(t.until) || !pause(ctx) {
+			return nil, t.refusal(err)
+		}
+	}
+}
+
+// again reports whether another look at the table may help.
+func again(err error) bool {
+	return errors.Is(err, tracker.ErrNotHome) || errors.Is(err, errAbsent)
+}
+
+// pause waits a little; false when ctx ended.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(searchInterval):
+		return true
+	}
+}
+
+// step sends the submission once to the home that the table names now.
+func (t *trip) step(ctx context.Context) (*wire.JobAnswer, error) {
+	owner, ok := t.Placer.Owner(t.shard)
+	if !ok {
+		return nil, errAbsent
+	}
+	if t.Placer.Own(owner) {
+		return t.submitAt(ctx, t.shard, t.request, t.reached)
+	}
+	m, ok := t.Members.Member(owner.GetName())
+	if !ok || m.GetIncarnation() != owner.GetIncarnation() {
+		return nil, errAbsent
+	}
+	q := &wire.Envelope{Body: &wire.Envelope_Forward{Forward: &wire.Forward{
+		Tenant: t.request.Tenant.GetName(), Request: t.request.Job, HomeIncarnation: owner.GetIncarnation(),
+		DeliveredEpoch: t.reached, Wait: t.request.Wait,
+	}}}
+	reply, err := t.Caller.Call(ctx, m.Peer(), q)
+	return t.read(ctx, owner.GetEpoch(), reply, err)
+}
+
+// read takes the result of one message to a home.
+func (t *trip) read(ctx context.Context, epoch uint64, reply *wire.Reply, err error) (*wire.JobAnswer, error) {
+	switch {
+	case err != nil:
+		t.count(resultFailed)
+		return t.failed(ctx, epoch, err)
+	case !reply.GetFound():
+		t.count(resultNotHome)
+		return nil, tracker.ErrNotHome
+	}
+	t.count(resultAnswered)
+	return reply.GetAnswer(), nil
+}
+
+func (t *trip) count(result string) {
+	t.Recorder.Forward(t.request.Service.GetService(), t.request.Tenant.GetName(), result)
+}
+
+// failed decides on a message that got no reply. One that may have arrived is
+// sent once more: the records of the epoch join it to the first.
+func (t *trip) failed(ctx context.Context, epoch uint64, err error) (*wire.JobAnswer, error) {
+	if classifier.Of(err) == classifier.MayHaveRun {
+		if t.reached == 0 {
+			t.reached = epoch
+		}
+		if !t.resent && ctx.Err() == nil {
+			t.resent = true
+			return t.step(ctx)
+		}
+	}
+	return nil, t.refusal(err)
+}
+
+// refusal is the final answer when no home answered. It is not_run only for a
+// first attempt that was never written to a home.
+func (t *trip) refusal(err error) error {
+	v := classifier.MayHaveRun
+	if t.reached == 0 && (t.request.Job.GetAttempt() == 1 || t.request.Service.GetRepeatable()) {
+		v = classifier.NotRun
+	}
+	return &classifier.Error{
+		Verdict: v, Reason: "the job's home cannot be reached", RetryAfter: absentAdvice, Err: &lostError{err},
+	}
+}
+
+// lostError marks an error as the absence of a home.
+type lostError struct{ error }
+
+// lost reports whether err is the absence of a home.
+func (t *trip) lost(err error) bool {
+	var l *lostError
+	return errors.As(err, &l)
+}
--- /dev/null
+++ b/lib/loader/values.go
@@ -0,0 +1,45 @@
+package loader
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// assign stores the default v at the pointer p.
+func assign(p, v any) {
+	switch p := p.(type) {
+	case *string:
+		*p, _ = v.(string)
+	case *int:
+		*p, _ = v.(int)
+	case *[]string:
+		*p, _ = v.([]string)
+	case *bool:
+		*p, _ = v.(bool)
+	}
+}
+
+// deref returns what the pointer p points at.
+func deref(p any) any {
+	switch p := p.(type) {
+	case *string:
+		return *p
+	case *int:
+		return *p
+	case *[]string:
+		return *p
+	case *bool:
+		return *p
+	}
+	return nil
+}
+
+// quote renders a value as it would stand in the file.
+func quote(v any) string {
+	if s, ok := v.(string); ok {
+		return strconv.Quote(s)
+	}
+	return fmt.Sprint(v)
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/lib/placer/dealer.go
@@ -0,0 +1,122 @@
+package placer
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/registrar"
+	"radishweir.org/lib/wire"
+)
+
+// deal gives the shards that have no living home to live members. It reports
+// whether it tried to change the table.
+func (p *Placer) deal(ctx context.Context) bool {
+	fd := p.Self.GetFailureDomain()
+	t, ok := p.held(fd)
+	if !ok {
+		t = table{&wire.ShardTable{FailureDomain: fd, Shards: make([]*wire.ShardOwner, ShardsPerDomain)}, 0, false}
+		for i := range t.Shards {
+			t.Shards[i] = &wire.ShardOwner{}
+		}
+	}
+	live := p.live()
+	if len(live) == 0 || live[0].GetName() != p.Self.GetName() {
+		return false
+	}
+	n := p.reassign(t.ShardTable, live)
+	if n == 0 {
+		return false
+	}
+	err := p.write(ctx, t)
+	p.Log.Info().Str("failure_domain", fd).Int("shards", n).AnErr("result", err).Msg("shards_dealt")
+	return true
+}
+
+// restore writes the own table again after the platform lost a newer version.
+// It reports whether it tried.
+func (p *Placer) restore(ctx context.Context) bool {
+	t, ok := p.held(p.Self.GetFailureDomain())
+	if !ok || !t.lost {
+		return false
+	}
+	err := p.write(ctx, t)
+	p.Log.Warn().Str("failure_domain", t.GetFailureDomain()).AnErr("result", err).Msg("shard_table_restored")
+	return true
+}
+
+// reassign gives each shard without a living home to the member that has the
+// fewest for its weight, in a new epoch. It returns the number of changes.
+func (p *Placer) reassign(t *wire.ShardTable, live []registrar.Member) int {
+	counts := p.counts(t)
+	n := 0
+	for i, o := range t.GetShards() {
+		if o.GetName() != "" && !p.Members.Dead(o.GetName(), o.GetIncarnation()) {
+			continue
+		}
+		m := poorest(live, counts)
+		counts[m.GetName()]++
+		t.Shards[i] = &wire.ShardOwner{
+			Name: m.GetName(), Incarnation: m.GetIncarnation(),
+			Epoch: o.GetEpoch() + 1, TakenAt: timestamppb.Now(),
+		}
+		n++
+	}
+	return n
+}
+
+// live returns the registered, undrained members of the own failure domain,
+// by name.
+func (p *Placer) live() []registrar.Member {
+	var out []registrar.Member
+	for _, m := range p.Members.Members() {
+		if m.Registered && !m.Draining && m.GetFailureDomain() == p.Self.GetFailureDomain() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// counts returns the number of shards of each entry.
+func (p *Placer) counts(t *wire.ShardTable) map[string]int {
+	out := make(map[string]int)
+	for _, o := range t.GetShards() {
+		out[o.GetName()]++
+	}
+	return out
+}
+
+// poorest returns the member with the fewest shards for its weight.
+func poorest(live []registrar.Member, counts map[string]int) registrar.Member {
+	best := live[0]
+	for _, m := range live[1:] {
+		if counts[m.GetName()]*weight(best) < counts[best.GetName()]*weight(m) {
+			best = m
+		}
+	}
+	return best
+}
+
+func weight(m registrar.Member) int { return max(1, int(m.GetWeight())) }
+
+// write stores a changed table by compare-and-swap. It returns nil only when
+// the change is in the platform.
+func (p *Placer) write(ctx context.Context, t table) error {
+	t.Version++
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(t.ShardTable)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := Key(t.GetFailureDomain())
+	rev, err := p.Store.Swap(ctx, platform.Write{Key: key, Value: data, Expected: t.key})
+	if err != nil {
+		return err
+	}
+	p.offer(table{t.ShardTable, rev, false})
+	return nil
+}
--- /dev/null
+++ b/lib/placer/handover.go
@@ -0,0 +1,190 @@
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/registrar"
+	"radishweir.org/lib/watcher"
+	"radishweir.org/lib/wire"
+)
+
+// balance hands surplus shards to the member that has the fewest.
+func (p *Placer) balance(ctx context.Context) {
+	t, ok := p.held(p.Self.GetFailureDomain())
+	live := p.live()
+	if !ok || len(live) < 2 {
+		return
+	}
+	counts := p.counts(t.ShardTable)
+	total := 0
+	for _, m := range live {
+		total += weight(m)
+	}
+	var self registrar.Member
+	for _, m := range live {
+		if m.GetName() == p.Self.GetName() {
+			self = m
+		}
+	}
+	if self.Registration == nil {
+		return
+	}
+	surplus := counts[self.GetName()] - (ShardsPerDomain*weight(self)+total-1)/total
+	to := poorest(live, counts)
+	deficit := ShardsPerDomain*weight(to)/total - counts[to.GetName()]
+	n := min(surplus, deficit)
+	if n <= 0 || to.GetName() == self.GetName() || !to.Reachable(time.Now()) {
+		return
+	}
+	p.handOver(ctx, t, p.ownShards(t)[:n], to)
+}
+
+// ownShards lists the shards of t whose home is this entry.
+func (p *Placer) ownShards(t table) []Shard {
+	var out []Shard
+	for i, o := range t.GetShards() {
+		if p.own(o) {
+			out = append(out, Shard{t.GetFailureDomain(), i})
+		}
+	}
+	return out
+}
+
+// Drain hands every own shard to the other live members of the failure domain.
+// It returns an error while shards remain.
+func (p *Placer) Drain(ctx context.Context) error {
+	p.step.Lock()
+	defer p.step.Unlock()
+	t, ok := p.held(p.Self.GetFailureDomain())
+	if !ok {
+		return nil
+	}
+	own := p.ownShards(t)
+	if len(own) == 0 {
+		return nil
+	}
+	var others []registrar.Member
+	for _, m := range p.live() {
+		if m.GetName() != p.Self.GetName() && m.Reachable(time.Now()) {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return errors.New("no other entry of the failure domain is live")
+	}
+	to := poorest(others, p.counts(t.ShardTable))
+	part := (len(own) + len(others) - 1) / len(others)
+	if !p.handOver(ctx, t, own[:part], to) {
+		return errors.Errorf("%d shards remain", len(own))
+	}
+	if part < len(own) {
+		return errors.Errorf("%d shards remain", len(own)-part)
+	}
+	return nil
+}
+
+// handOver moves shards with their records to another member. It reports
+// whether the platform's table now names that member.
+func (p *Placer) handOver(ctx context.Context, t table, shards []Shard, to registrar.Member) bool {
+	h := &wire.Handover{Id: p.Self.GetIncarnation() + "-" + strconv.FormatUint(rand.Uint64(), 16)}
+	h.Shards = p.Keeper.Pause(shards)
+	if err := p.stage(ctx, to, h); err != nil {
+		p.Keeper.Resume(shards)
+		p.Log.Warn().Str("to", to.GetName()).Err(err).Msg("handover_refused")
+		return false
+	}
+	for _, s := range shards {
+		o := t.Shards[s.Number]
+		o.Name, o.Incarnation, o.HandoverId = to.GetName(), to.GetIncarnation(), h.GetId()
+	}
+	err := p.write(ctx, t)
+	if errors.Is(err, platform.ErrUnknown) {
+		err = p.settle(ctx, t)
+	}
+	if errors.Is(err, errUnsettled) {
+		p.Log.Error().Str("to", to.GetName()).Err(err).Msg("handover_unsettled")
+		return false
+	}
+	return p.conclude(shards, to, err)
+}
+
+// conclude releases the shards that moved and takes up the others again.
+func (p *Placer) conclude(shards []Shard, to registrar.Member, err error) bool {
+	var kept, moved []Shard
+	for _, s := range shards {
+		if o, ok := p.Owner(s); ok && p.own(o) {
+			kept = append(kept, s)
+		} else {
+			moved = append(moved, s)
+		}
+	}
+	p.Keeper.Resume(kept)
+	p.Keeper.Release(moved)
+	p.Log.Info().Str("to", to.GetName()).Int("moved", len(moved)).Int("kept", len(kept)).
+		AnErr("result", err).Msg("handover_ended")
+	return len(kept) == 0
+}
+
+// stage sends the records to the new home ahead of the change of the table.
+func (p *Placer) stage(ctx context.Context, to registrar.Member, h *wire.Handover) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	q := &wire.Envelope{Body: &wire.Envelope_Handover{Handover: h}}
+	r, err := p.Caller.Call(ctx, to.Peer(), q)
+	if err != nil {
+		return err
+	}
+	if r.GetRefusal() != "" {
+		return errors.New(r.GetRefusal())
+	}
+	return nil
+}
+
+// errUnsettled reports a handover whose write may still take effect.
+var errUnsettled = errors.New("the table's change is still unknown")
+
+// settle finds out whether a write whose answer was lost took effect. While the
+// old table is in place it makes a further write from the same revision, after
+// which the lost one can no longer take effect. Until the end neither home may
+// start a job in the shards. It returns errUnsettled only when ctx ends.
+func (p *Placer) settle(ctx context.Context, lost table) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := p.settleOnce(call, lost)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		p.Log.Warn().Err(err).Msg("shard_table_write_unknown")
+		select {
+		case <-ctx.Done():
+			return errUnsettled
+		case <-time.After(watcher.Jitter(stepInterval)):
+		}
+	}
+}
+
+// settleOnce reads the table and returns nil when the lost write's fate is
+// known and the table held is the platform's.
+func (p *Placer) settleOnce(ctx context.Context, lost table) error {
+	kv, err := p.Store.Get(ctx, Key(lost.GetFailureDomain()))
+	if err != nil {
+		return err
+	}
+	now := &wire.ShardTable{}
+	if err := protojson.Unmarshal(kv.Value, now); err != nil {
+		return errors.Wrap(err, "shard table")
+	}
+	if kv.Revision != lost.key {
+		p.offer(table{now, kv.Revision, false})
+		return nil
+	}
+	return p.write(ctx, table{now, kv.Revision, false})
+}
--- /dev/null
+++ b/lib/queuer/queuer.go
@@ -0,0 +1,185 @@
+// Package queuer orders waiting items fairly between tenants.
+//
+// Each tenant has a queue ordered by deadline. Tenants take turns in
+// proportion to their weights by start-time fair queueing, so that a burst of
+// one tenant delays the others by at most one item each.
+//
+// # Usage
+//
+//	q := queuer.New[*Task]()
+//	q.Push("office-12", 1, deadline, task)
+//	task, ok := q.Pop()
+//
+// A queue is not safe for concurrent use.
+package queuer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Queue is a weighted fair queue of items of type T. It remembers each tenant
+// that ever waited, whose number the configuration bounds.
+type Queue[T any] struct {
+	tenants map[string]*tenant[T]
+	active  turns[T]
+	clock   float64
+	serial  uint64
+	length  int
+}
+
+// New returns an empty queue.
+func New[T any]() *Queue[T] {
+	return &Queue[T]{tenants: make(map[string]*tenant[T])}
+}
+
+type item[T any] struct {
+	deadline time.Time
+	serial   uint64
+	value    T
+}
+
+// tenant is the queue of one tenant with its place in the order of turns.
+type tenant[T any] struct {
+	items []item[T]
+	// start is the virtual time of the tenant's next turn; it outlives an empty
+	// queue, so that a tenant gains nothing by sending one item at a time.
+	start  float64
+	weight float64
+	serial uint64
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Waiting returns the number of waiting items of one tenant.
+func (q *Queue[T]) Waiting(name string) int {
+	if t := q.tenants[name]; t != nil {
+		return len(t.items)
+	}
+	return 0
+}
+
+// Push adds an item of a tenant with the given weight.
+func (q *Queue[T]) Push(name string, weight uint32, deadline time.Time, v T) {
+	q.serial++
+	q.length++
+	t := q.tenants[name]
+	if t == nil {
+		t = &tenant[T]{}
+		q.tenants[name] = t
+	}
+	t.weight = float64(max(weight, 1))
+	heap.Push(t, item[T]{deadline, q.serial, v})
+	if len(t.items) == 1 {
+		t.serial = q.serial
+		t.start = max(t.start, q.clock)
+		heap.Push(&q.active, t)
+	}
+}
+
+// Pop removes the item whose turn it is.
+func (q *Queue[T]) Pop() (v T, ok bool) {
+	if len(q.active) == 0 {
+		return v, false
+	}
+	t := q.active[0]
+	it, _ := heap.Pop(t).(item[T])
+	q.length--
+	q.clock = t.start
+	t.start += 1 / t.weight
+	if len(t.items) == 0 {
+		heap.Pop(&q.active)
+	} else {
+		heap.Fix(&q.active, 0)
+	}
+	return it.value, true
+}
+
+// Remove takes out every item that match accepts and returns them.
+func (q *Queue[T]) Remove(match func(T) bool) []T {
+	var out []T
+	for _, t := range q.tenants {
+		kept := t.items[:0]
+		for _, it := range t.items {
+			if match(it.value) {
+				out = append(out, it.value)
+			} else {
+				kept = append(kept, it)
+			}
+		}
+		clear(t.items[len(kept):])
+		t.items = kept
+		heap.Init(t)
+	}
+	q.length -= len(out)
+	q.rebuild()
+	return out
+}
+
+// rebuild restores the order of turns after tenants left.
+func (q *Queue[T]) rebuild() {
+	q.active = q.active[:0]
+	for _, t := range q.tenants {
+		if len(t.items) > 0 {
+			q.active = append(q.active, t)
+		}
+	}
+	heap.Init(&q.active)
+}
+
+// Len, Less, Swap, Push and Pop order a tenant's items by deadline.
+func (t *tenant[T]) Len() int { return len(t.items) }
+
+func (t *tenant[T]) Less(i, j int) bool {
+	a, b := t.items[i], t.items[j]
+	if !a.deadline.Equal(b.deadline) {
+		return a.deadline.Before(b.deadline)
+	}
+	return a.serial < b.serial
+}
+
+func (t *tenant[T]) Swap(i, j int) { t.items[i], t.items[j] = t.items[j], t.items[i] }
+
+// Push appends an item; only package heap calls it.
+func (t *tenant[T]) Push(x any) {
+	it, _ := x.(item[T])
+	t.items = append(t.items, it)
+}
+
+// Pop removes the last item; only package heap calls it.
+func (t *tenant[T]) Pop() any {
+	n := len(t.items) - 1
+	it := t.items[n]
+	t.items[n] = item[T]{}
+	t.items = t.items[:n]
+	return it
+}
+
+// turns orders tenants by the virtual time of their next turn.
+type turns[T any] []*tenant[T]
+
+func (a turns[T]) Len() int { return len(a) }
+
+func (a turns[T]) Less(i, j int) bool {
+	if a[i].start != a[j].start {
+		return a[i].start < a[j].start
+	}
+	return a[i].serial < a[j].serial
+}
+
+func (a turns[T]) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push appends a tenant; only package heap calls it.
+func (a *turns[T]) Push(x any) {
+	t, _ := x.(*tenant[T])
+	*a = append(*a, t)
+}
+
+// Pop removes the last tenant; only package heap calls it.
+func (a *turns[T]) Pop() any {
+	old := *a
+	t := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/lib/recorder/recorder.go
@@ -0,0 +1,107 @@
+// Package recorder holds the metrics of an entry.
+//
+// # Usage
+//
+//	r := recorder.New(prometheus.NewRegistry())
+//	d := &dispatcher.Dispatcher{Recorder: r}
+//
+// docs/OPERATIONS.md explains each metric to operators.
+package recorder
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// namespace is the common prefix of all metric names.
+const namespace = "radishweir"
+
+// runBuckets cover 1 ms to about 30 s.
+var runBuckets = prometheus.ExponentialBuckets(0.001, 2, 16)
+
+// Recorder implements the recorder interfaces of the other packages.
+type Recorder struct {
+	messages  *prometheus.CounterVec
+	forwards  *prometheus.CounterVec
+	requests  *prometheus.CounterVec
+	platform  *prometheus.CounterVec
+	ended     *prometheus.CounterVec
+	wait      *prometheus.HistogramVec
+	run       *prometheus.HistogramVec
+	response  *prometheus.HistogramVec
+	strangers prometheus.Counter
+}
+
+// New registers the metrics.
+func New(reg prometheus.Registerer) *Recorder {
+	f := promauto.With(reg)
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return f.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		o := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: runBuckets}
+		return f.NewHistogramVec(o, []string{"service", "tenant"})
+	}
+	return &Recorder{
+		messages: counter("upstream_messages_total", "Messages to upstreams by kind.", "service", "tenant", "kind"),
+		forwards: counter("forwards_total", "Jobs sent on to their home by result.", "service", "tenant", "result"),
+		requests: counter("caller_requests_total", "Requests of callers by HTTP status.", "service", "tenant", "status"),
+		platform: counter("platform_calls_total", "Calls to the platform by result.", "operation", "result"),
+		ended:    counter("jobs_ended_total", "Jobs by state and verdict.", "service", "tenant", "state", "verdict"),
+		wait:     histogram("queue_wait_seconds", "Time that tasks waited for a slot."),
+		run:      histogram("upstream_seconds", "Time that upstreams took for a task."),
+		response: histogram("response_seconds", "Time from a submission to its answer."),
+		strangers: f.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
+		}),
+	}
+}
+
+// Message counts one message to an upstream of the given kind.
+func (r *Recorder) Message(service, tenant, kind string) {
+	r.messages.WithLabelValues(service, tenant, kind).Inc()
+}
+
+// Forward counts one message to a home with its result.
+func (r *Recorder) Forward(service, tenant, result string) {
+	r.forwards.WithLabelValues(service, tenant, result).Inc()
+}
+
+// Wait observes the time that a task waited for a slot.
+func (r *Recorder) Wait(service, tenant string, d time.Duration) {
+	r.wait.WithLabelValues(service, tenant).Observe(d.Seconds())
+}
+
+// Run observes the time that an upstream took for a task.
+func (r *Recorder) Run(service, tenant string, d time.Duration) {
+	r.run.WithLabelValues(service, tenant).Observe(d.Seconds())
+}
+
+// Request counts one request of a caller.
+func (r *Recorder) Request(service, tenant string, status int) {
+	if tenant == "" {
+		service = "unknown"
+	}
+	r.requests.WithLabelValues(service, tenant, strconv.Itoa(status)).Inc()
+}
+
+// Response observes the time from a submission to its answer.
+func (r *Recorder) Response(service, tenant string, d time.Duration) {
+	r.response.WithLabelValues(service, tenant).Observe(d.Seconds())
+}
+
+// Count adds one call to the platform.
+func (r *Recorder) Count(operation, result string) {
+	r.platform.WithLabelValues(operation, result).Inc()
+}
+
+// Ended counts one job by its state and verdict.
+func (r *Recorder) Ended(service, tenant, state, verdict string) {
+	r.ended.WithLabelValues(service, tenant, state, verdict).Inc()
+}
+
+// Stranger counts a connection that failed the handshake.
+func (r *Recorder) Stranger() { r.strangers.Inc() }
--- /dev/null
+++ b/lib/registrar/registrar.go
@@ -0,0 +1,283 @@
+// Package registrar announces this entry and keeps track of the others.
+//
+// Three sources are combined, and each has its own weight. A registration in
+// the platform says that an entry lives; its lapse is only a suspicion. A
+// heartbeat says that a peer can be reached; its absence is only a suspicion.
+// The death of an incarnation is confirmed by a newer registration of the same
+// entry, which has bound the same sockets, or by the VM list, which no longer
+// holds the VM or holds another instance of it.
+//
+// # Usage
+//
+//	r := &registrar.Registrar{Self: self, Store: store, Lister: lister, Log: log}
+//	w.On(platform.EntryPrefix, r.Apply)
+//	go r.Run(ctx)
+//	for _, m := range r.Members() { ... }
+package registrar
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/entry"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/watcher"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// leaseSeconds is the life of a registration that is not renewed.
+	leaseSeconds = 10
+	// renewInterval is the mean time between renewals.
+	renewInterval = 3 * time.Second
+	// callTimeout bounds one call to the platform.
+	callTimeout = 2 * time.Second
+	// listInterval is the mean time between reads of the VM list.
+	listInterval = time.Second
+	// heartbeatLife is how long a heartbeat keeps a peer unsuspected.
+	heartbeatLife = 4 * time.Second
+)
+
+// Member is what is known of one entry.
+type Member struct {
+	*wire.Registration
+	// Registered is false after the registration lapsed.
+	Registered bool
+	// ReachableUntil is the deadline of the last heartbeat.
+	ReachableUntil time.Time
+	// Draining is true when the entry is shutting down.
+	Draining bool
+	// Loads are the waiting tasks and idle slots in the last heartbeat.
+	Loads []*wire.ServiceLoad
+}
+
+// Peer returns the address for package entry.
+func (m Member) Peer() entry.Peer {
+	return entry.Peer{Name: m.GetName(), Address: m.GetEntryAddress()}
+}
+
+// Reachable reports whether the entry's last heartbeat is recent.
+func (m Member) Reachable(now time.Time) bool { return now.Before(m.ReachableUntil) }
+
+// Registrar keeps the members. Exported fields are set before Run.
+type Registrar struct {
+	// Self is the registration of this entry.
+	Self *wire.Registration
+	// Store is the platform's key-value service.
+	Store platform.Store
+	// Lister is the platform's VM list.
+	Lister platform.Lister
+	// Log receives events.
+	Log zerolog.Logger
+	// Changed is called after members or VMs changed.
+	Changed func()
+
+	mu      sync.Mutex
+	members map[string]Member
+	vms     vmView
+	lease   int64
+}
+
+// Run registers this entry and reads the VM list until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, renewInterval, r.renew) })
+	wg.Go(func() { every(ctx, listInterval, r.list) })
+	wg.Wait()
+}
+
+// every calls f at once and then at jittered intervals until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		f(call)
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(watcher.Jitter(interval)):
+		}
+	}
+}
+
+// renew keeps the lease alive and registers anew after it lapsed.
+func (r *Registrar) renew(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease != 0 {
+		alive, err := r.Store.KeepAlive(ctx, lease)
+		if err != nil || alive {
+			return
+		}
+	}
+	if err := r.register(ctx); err != nil {
+		r.Log.Warn().Err(err).Msg("registration_failed")
+	}
+}
+
+// register writes this entry's registration under a fresh lease. It replaces
+// an earlier incarnation, which cannot live: this one holds its sockets. The
+// comparison keeps a delayed write of that incarnation from coming after it.
+func (r *Registrar) register(ctx context.Context) error {
+	lease, err := r.Store.Grant(ctx, leaseSeconds)
+	if err != nil {
+		return errors.Wrap(err, "lease")
+	}
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(r.Self)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	old, err := r.Store.Get(ctx, r.ownKey())
+	if err != nil {
+		return errors.Wrap(err, "read")
+	}
+	w := platform.Write{Key: r.ownKey(), Value: data, Lease: lease, Expected: old.Revision}
+	if _, err := r.Store.Swap(ctx, w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	r.mu.Lock()
+	r.lease = lease
+	r.mu.Unlock()
+	r.Log.Info().Str("incarnation", r.Self.GetIncarnation()).Msg("registered")
+	return nil
+}
+
+// Leave removes this entry's registration at the end of a drain.
+func (r *Registrar) Leave(ctx context.Context) error {
+	_, err := r.Store.Swap(ctx, platform.Write{Key: r.ownKey(), Unconditional: true, Delete: true})
+	return err
+}
+
+func (r *Registrar) ownKey() string { return platform.EntryPrefix + r.Self.GetName() }
+
+// Apply takes registrations from the platform.
+func (r *Registrar) Apply(u watcher.Update) {
+	r.mu.Lock()
+	seen := map[string]bool{}
+	for _, e := range u.Events {
+		r.apply(e)
+		seen[e.Key] = true
+	}
+	if u.Reset && !u.Regressed {
+		for name, m := range r.members {
+			if !seen[platform.EntryPrefix+name] {
+				r.lapse(name, m)
+			}
+		}
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+// apply takes one change; the caller holds the lock.
+func (r *Registrar) apply(e platform.Event) {
+	name := e.Key[len(platform.EntryPrefix):]
+	if e.Deleted {
+		if m, ok := r.members[name]; ok {
+			r.lapse(name, m)
+		}
+		return
+	}
+	g := &wire.Registration{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(e.Value, g); err != nil {
+		r.Log.Error().Str("key", e.Key).Err(err).Msg("registration_unreadable")
+		return
+	}
+	if r.members == nil {
+		r.members = make(map[string]Member)
+	}
+	old, known := r.members[name]
+	if known && old.GetIncarnation() == g.GetIncarnation() {
+		old.Registered = true
+		r.members[name] = old
+		return
+	}
+	if known && old.GetStartedAt().AsTime().After(g.GetStartedAt().AsTime()) {
+		return
+	}
+	r.members[name] = Member{Registration: g, Registered: true, ReachableUntil: time.Now().Add(heartbeatLife)}
+	r.Log.Info().Str("entry", name).Str("incarnation", g.GetIncarnation()).
+		Str("failure_domain", g.GetFailureDomain()).Msg("member_joined")
+}
+
+// lapse marks a registration as gone; the caller holds the lock.
+func (r *Registrar) lapse(name string, m Member) {
+	if !m.Registered {
+		return
+	}
+	m.Registered = false
+	r.members[name] = m
+	r.Log.Warn().Str("entry", name).Str("incarnation", m.GetIncarnation()).Msg("registration_lapsed")
+}
+
+// Heard takes a heartbeat of a peer.
+func (r *Registrar) Heard(h *wire.Heartbeat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[h.GetName()]
+	if !ok || m.GetIncarnation() != h.GetIncarnation() {
+		return
+	}
+	m.ReachableUntil = time.Now().Add(heartbeatLife)
+	m.Draining = h.GetDraining()
+	m.Loads = h.GetLoads()
+	r.members[h.GetName()] = m
+}
+
+// Learn takes registrations that a peer knows and the platform has not told.
+func (r *Registrar) Learn(list []*wire.Registration) {
+	r.mu.Lock()
+	if r.members == nil {
+		r.members = make(map[string]Member)
+	}
+	for _, g := range list {
+		if _, known := r.members[g.GetName()]; !known {
+			r.members[g.GetName()] = Member{Registration: g, Registered: true, ReachableUntil: time.Now().Add(heartbeatLife)}
+		}
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+// Members returns every known entry, this one included, by name.
+func (r *Registrar) Members() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Collect(maps.Values(r.members))
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return out
+}
+
+// Member returns one entry by name.
+func (r *Registrar) Member(name string) (Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[name]
+	return m, ok
+}
+
+// Dead reports whether the death of an incarnation is confirmed.
+func (r *Registrar) Dead(name, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[name]
+	if ok && m.GetIncarnation() != incarnation {
+		return true
+	}
+	return !m.Registered && r.vms.gone(name, time.Now())
+}
+
+func (r *Registrar) changed() {
+	if r.Changed != nil {
+		r.Changed()
+	}
+}
--- /dev/null
+++ b/lib/tracker/shard.go
@@ -0,0 +1,269 @@
+package tracker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/placer"
+	"radishweir.org/lib/wire"
+)
+
+// settleMargin is how long after its deadline a job that runs at an earlier
+// home may still be reported.
+const settleMargin = time.Second
+
+// phase is the standing of a shard at this entry.
+type phase int
+
+const (
+	serving phase = iota
+	// paused shards are being handed over and start no job.
+	paused
+	// released shards have another home.
+	released
+)
+
+// key names a job inside a shard.
+type key struct{ tenant, id string }
+
+// shard is the state of one shard under its own lock.
+type shard struct {
+	name placer.Shard
+
+	mu    sync.Mutex
+	phase phase
+	epoch uint64
+	// takenAt is when the epoch began.
+	takenAt time.Time
+	// broken is true when records of the present epoch are missing.
+	broken bool
+	jobs   map[key]*Job
+	// changed is closed when a pause ends.
+	changed chan struct{}
+}
+
+// stagedShard is a shard's records ahead of the change of the table.
+type stagedShard struct {
+	handover string
+	records  *wire.ShardRecords
+}
+
+// certain reports whether a job without a record was started by no earlier
+// home. The caller holds the lock.
+func (sh *shard) certain(sub Submission, now time.Time) bool {
+	if sub.Request.GetAttempt() == 1 && sub.DeliveredEpoch == 0 {
+		return true
+	}
+	if sh.broken {
+		return false
+	}
+	if sub.Request.GetAttempt() == 1 && sub.DeliveredEpoch == sh.epoch {
+		return true
+	}
+	if s, epoch, ok := placer.Issued(sub.Request.GetJobId()); ok && s == sh.name {
+		return epoch == sh.epoch
+	}
+	window := time.Duration(sub.Service.GetResubmissionWindowMs()) * time.Millisecond
+	known := sh.takenAt
+	if placed := sub.Service.GetPlacedAt().AsTime(); placed.After(known) {
+		known = placed
+	}
+	return sub.Service != nil && now.After(known.Add(window+clockMargin))
+}
+
+// await waits for the end of a pause.
+func (sh *shard) await(ctx context.Context) error {
+	sh.mu.Lock()
+	isPaused, changed := sh.phase == paused, sh.changed
+	sh.mu.Unlock()
+	if !isPaused {
+		return nil
+	}
+	t := time.NewTimer(pauseLimit)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return classifier.Later("the job's home is being handed over", time.Second)
+}
+
+// Open starts to serve a shard as the table's owner record says. A shard that
+// arrives by a handover gets the records staged for it.
+func (t *Tracker) Open(s placer.Shard, o *wire.ShardOwner) {
+	sh := &shard{
+		name: s, epoch: o.GetEpoch(), takenAt: o.GetTakenAt().AsTime(),
+		jobs: make(map[key]*Job), changed: make(chan struct{}),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.shards == nil {
+		t.shards = make(map[placer.Shard]*shard)
+	}
+	if o.GetHandoverId() != "" {
+		t.adopt(sh, o)
+	}
+	delete(t.staged, s)
+	t.shards[s] = sh
+}
+
+// adopt fills a shard with its staged records; the caller holds the lock.
+func (t *Tracker) adopt(sh *shard, o *wire.ShardOwner) {
+	st := t.staged[sh.name]
+	if st == nil || st.handover != o.GetHandoverId() {
+		sh.broken = true
+		t.Log.Error().Str("shard", sh.name.String()).Msg("handover_records_missing")
+		return
+	}
+	for _, r := range st.records.GetRecords() {
+		j := jobOf(r)
+		sh.jobs[j.key] = j
+		t.counts.add(j.service, 1)
+	}
+}
+
+// Stage keeps records until the table names this entry as the home.
+func (t *Tracker) Stage(h *wire.Handover) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.staged == nil {
+		t.staged = make(map[placer.Shard]*stagedShard)
+	}
+	for _, r := range h.GetShards() {
+		if s, ok := placer.ParseShard(r.GetShard()); ok {
+			t.staged[s] = &stagedShard{h.GetId(), r}
+		}
+	}
+}
+
+// Pause stops new jobs in the shards and returns what is remembered.
+func (t *Tracker) Pause(shards []placer.Shard) []*wire.ShardRecords {
+	var out []*wire.ShardRecords
+	for _, s := range shards {
+		sh := t.shard(s)
+		if sh == nil {
+			continue
+		}
+		sh.mu.Lock()
+		if sh.phase == serving {
+			sh.phase = paused
+			sh.changed = make(chan struct{})
+		}
+		r := &wire.ShardRecords{Shard: s.String(), Epoch: sh.epoch}
+		for _, j := range sh.jobs {
+			r.Records = append(r.Records, j.record(t.Self))
+		}
+		sh.mu.Unlock()
+		out = append(out, r)
+	}
+	return out
+}
+
+// Resume takes up the shards again after a handover that did not happen.
+func (t *Tracker) Resume(shards []placer.Shard) { t.leave(shards, serving) }
+
+// Release gives up the shards after a handover.
+func (t *Tracker) Release(shards []placer.Shard) { t.leave(shards, released) }
+
+// leave ends the pause of the shards.
+func (t *Tracker) leave(shards []placer.Shard, next phase) {
+	for _, s := range shards {
+		sh := t.shard(s)
+		if sh == nil {
+			continue
+		}
+		sh.mu.Lock()
+		if sh.phase == paused {
+			sh.phase = next
+			close(sh.changed)
+		}
+		moved := sh.ended(next)
+		sh.mu.Unlock()
+		for _, r := range moved {
+			t.Settle(s, r)
+		}
+	}
+}
+
+// ended drops the finished jobs of a shard that was released and returns
+// those that finished while it was paused; the caller holds the lock.
+func (sh *shard) ended(next phase) []*wire.JobRecord {
+	if next != released {
+		return nil
+	}
+	var out []*wire.JobRecord
+	for k, j := range sh.jobs {
+		if !j.over() {
+			continue
+		}
+		if j.exported {
+			out = append(out, j.record(""))
+		}
+		delete(sh.jobs, k)
+	}
+	return out
+}
+
+// Settled takes the answer of a job that an earlier home went on running.
+func (t *Tracker) Settled(s placer.Shard, r *wire.JobRecord) error {
+	sh := t.shard(s)
+	if sh == nil {
+		return ErrNotHome
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	j := sh.jobs[key{r.GetTenant(), r.GetJobId()}]
+	if j == nil || sh.phase == released {
+		return ErrNotHome
+	}
+	if j.runner != "" {
+		j.conclude(r.GetAnswer())
+	}
+	return nil
+}
+
+// jobOf is the job of a record that another entry handed over.
+func jobOf(r *wire.JobRecord) *Job {
+	j := &Job{
+		key: key{r.GetTenant(), r.GetJobId()}, service: r.GetService(), attempt: r.GetAttempt(),
+		forgetAt: r.GetForgetAt().AsTime(), runner: r.GetRunner(), done: make(chan struct{}),
+	}
+	j.Deadline = r.GetDeadline().AsTime()
+	if r.GetRunner() == "" {
+		j.conclude(r.GetAnswer())
+		return j
+	}
+	j.timer = time.AfterFunc(time.Until(j.Deadline)+settleMargin, func() {
+		j.conclude(&wire.JobAnswer{
+			JobId: j.key.id, State: wire.JobState_failed, Verdict: classifier.MayHaveRun,
+			Reason: "the entry that ran the job did not report its end",
+		})
+	})
+	return j
+}
+
+// record is what a handover tells of the job. A job that still runs names its
+// runner, which will send the answer later.
+func (j *Job) record(runner string) *wire.JobRecord {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := &wire.JobRecord{
+		Tenant: j.key.tenant, JobId: j.key.id, Service: j.service, Attempt: j.attempt,
+		ForgetAt: timestamppb.New(j.forgetAt), Answer: j.answer, Deadline: timestamppb.New(j.Deadline),
+	}
+	j.exported = false
+	if j.answer == nil {
+		r.Runner = runner
+		if j.runner != "" {
+			r.Runner = j.runner
+		}
+		j.exported = true
+	}
+	return r
+}
--- /dev/null
+++ b/lib/tracker/tracker.go
@@ -0,0 +1,313 @@
+// Package tracker remembers the jobs whose home this entry is.
+//
+// Records are kept per shard, each shard under its own lock. A job is created
+// only where it is certain that no earlier home started it; otherwise it is
+// answered as may_have_run and never run. Its answer is assembled once and
+// kept until the resubmission window of its service ends.
+//
+// # Usage
+//
+//	t := &tracker.Tracker{Self: name, Runner: dispatcher, Log: log}
+//	job, err := t.Submit(shard, submission)
+//	answer := job.Wait(ctx)
+//
+// Submit's error is a classifier.Error whose verdict holds for the job's
+// identifier, not only for this attempt.
+package tracker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/dispatcher"
+	"radishweir.org/lib/placer"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// clockMargin covers the difference between the clocks of two VMs.
+	clockMargin = time.Minute
+	// pauseLimit is how long a submission waits for a handover to end.
+	pauseLimit = 2 * time.Second
+	// sweepInterval is the time between searches for expired records.
+	sweepInterval = 10 * time.Second
+)
+
+// ErrNotHome reports that this entry is not the home of the shard. Nothing was
+// done for the job.
+var ErrNotHome = errors.New("this entry is not the home of the job")
+
+// ErrOtherService reports an identifier that names a job of another service.
+var ErrOtherService = errors.New("the job identifier belongs to another service")
+
+// Runner starts tasks; a dispatcher.Dispatcher is one.
+type Runner interface {
+	Submit(service string, tasks []*dispatcher.Task) error
+	Cancel(service string, tasks []*dispatcher.Task, stop bool)
+}
+
+// Submission is a job as it reaches its home.
+type Submission struct {
+	// Tenant owns the job.
+	Tenant string
+	// Weight is the tenant's weight in the service.
+	Weight uint32
+	// Service is the configuration in force.
+	Service *wire.ServiceConfiguration
+	// Request is the job with its identifier and deadline set.
+	Request *wire.JobRequest
+	// DeliveredEpoch is the shard's epoch in which this attempt may have reached
+	// a home before; 0 if it reached none.
+	DeliveredEpoch uint64
+}
+
+// Tracker holds the records. Exported fields are set before the first call.
+type Tracker struct {
+	// Self is the name of this entry.
+	Self string
+	// Runner starts the tasks.
+	Runner Runner
+	// Settle reports the end of a job whose shard has moved away since.
+	Settle func(shard placer.Shard, r *wire.JobRecord)
+	// Ended is called with each assembled answer; nil is not called.
+	Ended func(j *Job, answer *wire.JobAnswer)
+	// Log receives events.
+	Log zerolog.Logger
+
+	mu     sync.RWMutex
+	shards map[placer.Shard]*shard
+	staged map[placer.Shard]*stagedShard
+	counts counter
+}
+
+// Local is the shard of repeatable jobs that run here since their home cannot
+// be reached.
+var Local = placer.Shard{FailureDomain: "local"}
+
+// shard returns the state of s, or nil; Local is created on demand.
+func (t *Tracker) shard(s placer.Shard) *shard {
+	t.mu.RLock()
+	sh := t.shards[s]
+	t.mu.RUnlock()
+	if sh != nil || s != Local {
+		return sh
+	}
+	t.Open(Local, &wire.ShardOwner{Epoch: 1})
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.shards[s]
+}
+
+// Submit joins the job if it is known and otherwise creates it.
+func (t *Tracker) Submit(ctx context.Context, s placer.Shard, sub Submission) (*Job, error) {
+	sh := t.shard(s)
+	if sh == nil {
+		return nil, ErrNotHome
+	}
+	if err := sh.await(ctx); err != nil {
+		return nil, err
+	}
+	sh.mu.Lock()
+	if sh.phase != serving {
+		sh.mu.Unlock()
+		return nil, ErrNotHome
+	}
+	j, create, err := t.find(sh, sub)
+	if err != nil || !create {
+		sh.mu.Unlock()
+		return j, err
+	}
+	j.tracker, j.shard = t, sh
+	tasks := j.prepare(sub)
+	sh.jobs[j.key] = j
+	sh.mu.Unlock()
+	return t.start(j, sub, tasks)
+}
+
+// find looks a submission up under the shard's lock. It returns the job to
+// join, or a new one to start with create set, or a refusal.
+func (t *Tracker) find(sh *shard, sub Submission) (j *Job, create bool, err error) {
+	k := key{sub.Tenant, sub.Request.GetJobId()}
+	old := sh.jobs[k]
+	if old != nil && old.service != sub.Service.GetService() {
+		return nil, false, ErrOtherService
+	}
+	if old != nil && !old.superseded(sub) {
+		return old, false, nil
+	}
+	if old == nil && !sub.Service.GetRepeatable() && !sh.certain(sub, time.Now()) {
+		j := t.unknownJob(k, sub)
+		sh.jobs[k] = j
+		t.counts.add(j.service, 1)
+		return j, false, nil
+	}
+	if old == nil && !t.room(sh, sub.Service) {
+		return nil, false, noRoom(sub)
+	}
+	if old == nil {
+		t.counts.add(sub.Service.GetService(), 1)
+	}
+	return newJob(k, sub), true, nil
+}
+
+// room reports whether one more job can be remembered. It forgets the oldest
+// answers of repeatable services but never a job that must not repeat; the
+// caller holds the shard's lock.
+func (t *Tracker) room(sh *shard, s *wire.ServiceConfiguration) bool {
+	limit := int(s.GetMaxJobs())
+	if limit == 0 || t.counts.of(s.GetService()) < limit {
+		return true
+	}
+	if !s.GetRepeatable() {
+		return false
+	}
+	for k, j := range sh.jobs {
+		if j.service == s.GetService() && j.over() {
+			delete(sh.jobs, k)
+			t.counts.add(j.service, -1)
+			return true
+		}
+	}
+	return false
+}
+
+// noRoom refuses a job that cannot be remembered. An earlier attempt at it may
+// still be on its way and find room, so only the first is certain not to run.
+func noRoom(sub Submission) error {
+	e := classifier.Later("the home has no memory for more jobs", time.Second)
+	if !sub.Service.GetRepeatable() && sub.Request.GetAttempt() > 1 {
+		e.Verdict = classifier.MayHaveRun
+	}
+	return e
+}
+
+// unknownJob is the record of a job that an earlier home may have started.
+func (t *Tracker) unknownJob(k key, sub Submission) *Job {
+	j := newJob(k, sub)
+	j.conclude(&wire.JobAnswer{
+		JobId: k.id, State: wire.JobState_failed, Verdict: classifier.MayHaveRun,
+		Reason: "an earlier home of the job was lost and may have started it",
+	})
+	t.Log.Warn().Str("tenant", k.tenant).Str("job", k.id).Msg("job_fate_unknown")
+	return j
+}
+
+// start hands a new job's tasks to the runner. A refused job is remembered
+// only if an earlier attempt at it may still be on its way.
+func (t *Tracker) start(j *Job, sub Submission, tasks []*dispatcher.Task) (*Job, error) {
+	err := t.Runner.Submit(j.service, tasks)
+	if err == nil {
+		j.arm()
+		return j, nil
+	}
+	j.refuse(err)
+	if sub.Service.GetRepeatable() || sub.Request.GetAttempt() <= 1 {
+		t.forget(j)
+	}
+	return j, nil
+}
+
+// forget drops the record of a job.
+func (t *Tracker) forget(j *Job) {
+	j.shard.mu.Lock()
+	defer j.shard.mu.Unlock()
+	if j.shard.jobs[j.key] == j {
+		delete(j.shard.jobs, j.key)
+		t.counts.add(j.service, -1)
+	}
+}
+
+// Find returns a job, or nil and whether it is certain that it never started.
+func (t *Tracker) Find(s placer.Shard, tenant, id string) (j *Job, certain bool, err error) {
+	sh := t.shard(s)
+	if sh == nil {
+		return nil, false, ErrNotHome
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase == released {
+		return nil, false, ErrNotHome
+	}
+	j = sh.jobs[key{tenant, id}]
+	if j != nil {
+		return j, true, nil
+	}
+	sub := Submission{Request: &wire.JobRequest{JobId: id}}
+	return nil, sh.certain(sub, time.Now()), nil
+}
+
+// Run forgets expired records until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			t.sweep(now)
+		}
+	}
+}
+
+// sweep forgets the records whose window has ended.
+func (t *Tracker) sweep(now time.Time) {
+	for _, sh := range t.list() {
+		sh.mu.Lock()
+		for k, j := range sh.jobs {
+			if j.expired(now) {
+				delete(sh.jobs, k)
+				t.counts.add(j.service, -1)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// list returns the states of all shards.
+func (t *Tracker) list() []*shard {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]*shard, 0, len(t.shards))
+	for _, sh := range t.shards {
+		out = append(out, sh)
+	}
+	return out
+}
+
+// OpenJobs returns the number of jobs that have not ended.
+func (t *Tracker) OpenJobs() int {
+	n := 0
+	for _, sh := range t.list() {
+		sh.mu.Lock()
+		for _, j := range sh.jobs {
+			if !j.over() && j.runner == "" {
+				n++
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return n
+}
+
+// Stop ends every open job with what is known of it.
+func (t *Tracker) Stop(reason string) {
+	for _, sh := range t.list() {
+		sh.mu.Lock()
+		var open []*Job
+		for _, j := range sh.jobs {
+			if !j.over() {
+				open = append(open, j)
+			}
+		}
+		sh.mu.Unlock()
+		for _, j := range open {
+			j.Cancel(reason)
+		}
+	}
+}
--- /dev/null
+++ b/load/internal/driver/driver.go
@@ -0,0 +1,269 @@
+// Package driver sends jobs to the entries at the times of a seeded trace.
+//
+// The load is open: a job is sent when its time has come, whether or not
+// earlier ones were answered. A caller whose job was lost or refused submits it
+// again with the next attempt number, as the rules for callers say.
+//
+// # Usage
+//
+//	jobs := driver.Trace(scenario)
+//	results := driver.Run(ctx, scenario, jobs)
+package driver
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/caller"
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/wire"
+	"radishweir.org/load/internal/judge"
+	"radishweir.org/load/internal/scheduler"
+)
+
+const (
+	// clientTimeout is added to the deadline before a caller gives up.
+	clientTimeout = 2 * time.Second
+	// spread is the standard deviation of the logarithm of run times.
+	spread = 0.8
+	// connections bounds the idle connections to one entry.
+	connections = 4096
+)
+
+// Scenario is one run of the load tool.
+type Scenario struct {
+	Entries        []string  `toml:"entries"`
+	Operators      []string  `toml:"operators"`
+	Upstreams      []string  `toml:"upstreams"`
+	Speeds         []float64 `toml:"speeds"`
+	Slots          int       `toml:"slots"`
+	Service        string    `toml:"service"`
+	Tokens         []string  `toml:"tokens"`
+	Repeatable     bool      `toml:"repeatable"`
+	Seed           int       `toml:"seed"`
+	Load           float64   `toml:"load"`
+	TasksPerSecond float64   `toml:"tasks_per_second"`
+	Seconds        float64   `toml:"seconds"`
+	MeanRunMS      float64   `toml:"mean_run_ms"`
+	WideShare      float64   `toml:"wide_share"`
+	WideTasks      int       `toml:"wide_tasks"`
+	DeadlineMS     int       `toml:"deadline_ms"`
+	IssuedShare    float64   `toml:"issued_share"`
+	GreedyShare    float64   `toml:"greedy_share"`
+	BurstFactor    float64   `toml:"burst_factor"`
+	CancelShare    float64   `toml:"cancel_share"`
+}
+
+// Job is one job of the trace.
+type Job struct {
+	scheduler.Job
+	// Tenant is the token's name, which precedes its first dash.
+	Tenant, Token string
+	// Issued is true when the identifier comes from an entry.
+	Issued bool
+	// Cancel is true when the caller withdraws the job half way.
+	Cancel bool
+	number int
+}
+
+// Result is what became of one job.
+type Result struct {
+	judge.Job
+	Response time.Duration
+	Attempts int
+	Canceled bool
+}
+
+// Capacity is the work that the upstreams do per second, in seconds at speed 1.
+func (s *Scenario) Capacity() float64 {
+	sum := 0.0
+	for _, v := range s.Speeds {
+		sum += v * float64(s.Slots)
+	}
+	return sum
+}
+
+// meanTasks is the mean number of tasks of a job.
+func (s *Scenario) meanTasks() float64 {
+	return 1 - s.WideShare + s.WideShare*float64(s.WideTasks+1)/2
+}
+
+// JobRate is the number of jobs per second.
+func (s *Scenario) JobRate() float64 {
+	rate := s.TasksPerSecond
+	if rate == 0 {
+		rate = s.Load * s.Capacity() / (s.MeanRunMS / 1000)
+	}
+	return rate / s.meanTasks()
+}
+
+// Trace draws the jobs of a scenario from its seed.
+func Trace(s *Scenario) []Job {
+	r := rand.New(rand.NewPCG(uint64(s.Seed), 1))
+	var out []Job
+	at := 0.0
+	for at < s.Seconds {
+		at += r.ExpFloat64() / s.rateAt(at)
+		out = append(out, s.draw(r, at, len(out)))
+	}
+	return out
+}
+
+// rateAt is the rate of arrivals, which bursts in the middle fifth of the run.
+func (s *Scenario) rateAt(at float64) float64 {
+	if s.BurstFactor > 1 && at > 0.4*s.Seconds && at < 0.6*s.Seconds {
+		return s.JobRate() * s.BurstFactor
+	}
+	return s.JobRate()
+}
+
+// draw makes one job.
+func (s *Scenario) draw(r *rand.Rand, at float64, number int) Job {
+	n := 1
+	if r.Float64() < s.WideShare {
+		n = 1 + r.IntN(s.WideTasks)
+	}
+	j := Job{number: number, Token: s.token(r), Issued: r.Float64() < s.IssuedShare, Cancel: r.Float64() < s.CancelShare}
+	j.Tenant, _, _ = strings.Cut(j.Token, "-")
+	j.At = time.Duration(at * float64(time.Second))
+	for range n {
+		us := s.MeanRunMS * 1000 * math.Exp(spread*r.NormFloat64()-spread*spread/2)
+		j.Runs = append(j.Runs, time.Duration(us)*time.Microsecond)
+	}
+	return j
+}
+
+// token picks a tenant; the first one takes the greedy share.
+func (s *Scenario) token(r *rand.Rand) string {
+	if r.Float64() < s.GreedyShare {
+		return s.Tokens[0]
+	}
+	return s.Tokens[r.IntN(len(s.Tokens))]
+}
+
+// driver holds the callers' connections.
+type driver struct {
+	*Scenario
+	http *http.Client
+	run  string
+}
+
+// Run sends all jobs and waits for their ends.
+func Run(ctx context.Context, s *Scenario, jobs []Job) []Result {
+	d := &driver{Scenario: s, run: strconv.FormatInt(time.Now().UnixNano(), 36), http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: connections, MaxIdleConns: 0,
+	}}}
+	out := make([]Result, len(jobs))
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i, j := range jobs {
+		time.Sleep(time.Until(began.Add(j.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() { out[i] = d.send(ctx, j, began.Add(j.At)) })
+	}
+	wg.Wait()
+	return out
+}
+
+// send submits one job until it has a final answer.
+func (d *driver) send(ctx context.Context, j Job, at time.Time) Result {
+	deadline := at.Add(time.Duration(d.DeadlineMS) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(clientTimeout))
+	defer cancel()
+	req := d.request(j, deadline)
+	res := Result{Job: judge.Job{Tenant: j.Tenant, ID: req.GetJobId()}}
+	for _, t := range req.GetTasks() {
+		res.Inputs = append(res.Inputs, t.GetInput())
+	}
+	if j.Issued && !d.issue(ctx, j, req) {
+		return res
+	}
+	res.ID = req.GetJobId()
+	if j.Cancel {
+		go d.cancel(ctx, j, req)
+		res.Canceled = true
+	}
+	for ctx.Err() == nil {
+		again, wait := d.attempt(ctx, j, req, &res)
+		if !again {
+			break
+		}
+		req.Attempt++
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	res.Response = time.Since(at)
+	return res
+}
+
+// request builds the submission of a job.
+func (d *driver) request(j Job, deadline time.Time) *wire.JobRequest {
+	req := &wire.JobRequest{
+		JobId: fmt.Sprintf("job-%s-%d", d.run, j.number), Service: d.Service,
+		Deadline: timestamppb.New(deadline), Attempt: 1,
+	}
+	for _, r := range j.Runs {
+		req.Tasks = append(req.Tasks, &wire.Task{Input: []byte(strconv.FormatInt(r.Microseconds(), 10))})
+	}
+	return req
+}
+
+// client returns a client for a random entry, as a balancer would.
+func (d *driver) client(j Job) *caller.Client {
+	return &caller.Client{Address: d.Entries[rand.IntN(len(d.Entries))], Token: j.Token, HTTP: d.http}
+}
+
+// issue replaces the identifier by one from an entry.
+func (d *driver) issue(ctx context.Context, j Job, req *wire.JobRequest) bool {
+	for ctx.Err() == nil {
+		ids, err := d.client(j).Issue(ctx, d.Service, 1)
+		if err == nil && len(ids) == 1 {
+			req.JobId = ids[0]
+			return true
+		}
+		time.Sleep(retryPause)
+	}
+	return false
+}
+
+// retryPause is the wait of a caller that got no answer.
+const retryPause = 100 * time.Millisecond
+
+// attempt submits once. It reports whether another attempt may follow.
+func (d *driver) attempt(ctx context.Context, j Job, req *wire.JobRequest, res *Result) (again bool, wait time.Duration) {
+	res.Attempts++
+	a, err := d.client(j).Submit(ctx, req, true)
+	var status *caller.StatusError
+	switch {
+	case errors.As(err, &status):
+		return status.Status == http.StatusServiceUnavailable, retryPause
+	case err != nil:
+		return true, retryPause
+	}
+	res.Answer = a
+	res.Refused = a.GetState() == wire.JobState_failed && a.GetVerdict() == classifier.NotRun
+	if !res.Refused || a.GetRetryAfterMs() == 0 || res.Canceled {
+		return false, 0
+	}
+	return true, time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+}
+
+// cancel withdraws a job half way through its ideal run.
+func (d *driver) cancel(ctx context.Context, j Job, req *wire.JobRequest) {
+	time.Sleep(time.Duration(d.MeanRunMS/2) * time.Millisecond)
+	_, _ = d.client(j).Cancel(ctx, d.Service, req.GetJobId())
+}
--- /dev/null
+++ b/load/internal/judge/judge.go
@@ -0,0 +1,128 @@
+// Package judge counts broken invariants from the upstreams' own records.
+//
+// # Usage
+//
+//	starts := judge.Starts(ctx, upstreams)
+//	broken := judge.Check(jobs, starts, repeatable)
+package judge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/wire"
+)
+
+// Job is one job as its caller saw it.
+type Job struct {
+	// Tenant and ID name the job.
+	Tenant, ID string
+	// Inputs are the inputs of its tasks.
+	Inputs [][]byte
+	// Answer is the last answer; nil if there was none.
+	Answer *wire.JobAnswer
+	// Refused is true when the answer said not_run and no other try followed.
+	Refused bool
+}
+
+// Broken counts broken invariants.
+type Broken struct {
+	StartedTwice int `json:"started_twice"`
+	Partial      int `json:"partial_answer"`
+	WrongCaller  int `json:"answer_to_the_wrong_caller"`
+	NotRunRan    int `json:"not_run_that_ran"`
+}
+
+// Total is the number of all broken invariants.
+func (b Broken) Total() int { return b.StartedTwice + b.Partial + b.WrongCaller + b.NotRunRan }
+
+// Starts counts the recorded starts of each task over the upstreams.
+func Starts(ctx context.Context, addresses []string) (map[string]int, error) {
+	out := make(map[string]int)
+	for _, a := range addresses {
+		if err := add(ctx, a, out); err != nil {
+			return nil, errors.Wrapf(err, "starts of %s", a)
+		}
+	}
+	return out, nil
+}
+
+func add(ctx context.Context, address string, out map[string]int) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/admin/starts", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list []struct {
+		Task string `json:"task"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return err
+	}
+	for _, s := range list {
+		out[s.Task]++
+	}
+	return nil
+}
+
+// Check judges all jobs.
+func Check(jobs []Job, starts map[string]int, repeatable bool) Broken {
+	var b Broken
+	for _, j := range jobs {
+		b.answer(j)
+		for i := range j.Inputs {
+			n := starts[j.taskID(i)]
+			if n > 1 && !repeatable {
+				b.StartedTwice++
+			}
+			if n > 0 && j.Refused {
+				b.NotRunRan++
+			}
+		}
+	}
+	return b
+}
+
+func (j Job) taskID(i int) string { return fmt.Sprintf("%s/%s/%d", j.Tenant, j.ID, i) }
+
+// answer judges one answer.
+func (b *Broken) answer(j Job) {
+	a := j.Answer
+	if a == nil {
+		return
+	}
+	if a.GetState() != wire.JobState_complete {
+		for _, t := range a.GetTasks() {
+			if len(t.GetOutput()) > 0 {
+				b.Partial++
+				return
+			}
+		}
+		return
+	}
+	if len(a.GetTasks()) != len(j.Inputs) || a.GetVerdict() != classifier.Ran {
+		b.Partial++
+		return
+	}
+	for i, t := range a.GetTasks() {
+		want := append([]byte(j.taskID(i)+" "), j.Inputs[i]...)
+		switch {
+		case len(t.GetOutput()) == 0:
+			b.Partial++
+			return
+		case !bytes.Equal(t.GetOutput(), want):
+			b.WrongCaller++
+			return
+		}
+	}
+}
--- /dev/null
+++ b/load/internal/scheduler/scheduler.go
@@ -0,0 +1,112 @@
+// Package scheduler computes the response times of ideal schedulers.
+//
+// Both ideals know every run time. Alone gives a job that has all slots to
+// itself. Replay gives a central scheduler that serves the same arrivals in
+// order, each task on the slot where it ends first.
+//
+// # Usage
+//
+//	ideal := scheduler.Alone(slots, job)
+//	replay := scheduler.Replay(slots, jobs)
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Slots are the slots of upstreams with one speed.
+type Slots struct {
+	// Speed divides the run time of a task.
+	Speed float64
+	// Count is the number of slots.
+	Count int
+}
+
+// Job is one arrival.
+type Job struct {
+	// At is the time of the arrival since the start of the run.
+	At time.Duration
+	// Runs are the run times of its tasks at speed 1.
+	Runs []time.Duration
+}
+
+// class is the slots of one speed, ordered by when they are free.
+type class struct {
+	speed float64
+	free  times
+}
+
+type times []time.Duration
+
+func (t times) Len() int           { return len(t) }
+func (t times) Less(i, j int) bool { return t[i] < t[j] }
+func (t times) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push appends a time; only package heap calls it.
+func (t *times) Push(x any) {
+	d, _ := x.(time.Duration)
+	*t = append(*t, d)
+}
+
+// Pop removes the last time; only package heap calls it.
+func (t *times) Pop() any {
+	old := *t
+	d := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return d
+}
+
+func classes(slots []Slots) []*class {
+	var out []*class
+	for _, s := range slots {
+		if s.Count > 0 {
+			out = append(out, &class{s.Speed, make(times, s.Count)})
+		}
+	}
+	return out
+}
+
+// place runs one task where it ends first and returns its end.
+func place(cs []*class, at, run time.Duration) time.Duration {
+	var best *class
+	var end time.Duration
+	for _, c := range cs {
+		e := max(at, c.free[0]) + time.Duration(float64(run)/c.speed)
+		if best == nil || e < end {
+			best, end = c, e
+		}
+	}
+	best.free[0] = end
+	heap.Fix(&best.free, 0)
+	return end
+}
+
+// serve runs all tasks of a job, the longest first, and returns its response.
+func serve(cs []*class, j Job) time.Duration {
+	runs := slices.Clone(j.Runs)
+	slices.SortFunc(runs, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	var last time.Duration
+	for _, r := range runs {
+		last = max(last, place(cs, j.At, r))
+	}
+	return last - j.At
+}
+
+// Alone returns the response time of a job on an idle fleet.
+func Alone(slots []Slots, j Job) time.Duration {
+	j.At = 0
+	return serve(classes(slots), j)
+}
+
+// Replay returns the response time of each job when all arrive as given.
+func Replay(slots []Slots, jobs []Job) []time.Duration {
+	cs := classes(slots)
+	out := make([]time.Duration, len(jobs))
+	for i, j := range jobs {
+		out[i] = serve(cs, j)
+	}
+	return out
+}
--- /dev/null
+++ b/load/internal/scraper/scraper.go
@@ -0,0 +1,98 @@
+// Package scraper reads counters from the entries' operator ports.
+//
+// # Usage
+//
+//	before, err := scraper.Read(ctx, addresses)
+//	after, err := scraper.Read(ctx, addresses)
+//	sent := after.Sub(before)
+package scraper
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// Counts are counters added up over entries, tenants and services.
+type Counts struct {
+	// Upstream holds messages to upstreams by kind.
+	Upstream map[string]float64
+	// Forwards holds messages to homes by result.
+	Forwards map[string]float64
+	// Platform is the number of calls to the platform.
+	Platform float64
+	// CPUSeconds is the processor time of the entries.
+	CPUSeconds float64
+	// Memory is the resident memory of the largest entry, in bytes.
+	Memory float64
+}
+
+// Read adds up the counters of the entries at addresses. Entries that do not
+// answer are left out.
+func Read(ctx context.Context, addresses []string) Counts {
+	c := Counts{Upstream: map[string]float64{}, Forwards: map[string]float64{}}
+	for _, a := range addresses {
+		_ = c.add(ctx, a)
+	}
+	return c
+}
+
+// add reads one entry.
+func (c *Counts) add(ctx context.Context, address string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "send")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	p := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := p.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	for _, m := range families["radishweir_upstream_messages_total"].GetMetric() {
+		for _, l := range m.GetLabel() {
+			if l.GetName() == "kind" {
+				c.Upstream[l.GetValue()] += m.GetCounter().GetValue()
+			}
+		}
+	}
+	for _, m := range families["radishweir_forwards_total"].GetMetric() {
+		for _, l := range m.GetLabel() {
+			if l.GetName() == "result" {
+				c.Forwards[l.GetValue()] += m.GetCounter().GetValue()
+			}
+		}
+	}
+	for _, m := range families["radishweir_platform_calls_total"].GetMetric() {
+		c.Platform += m.GetCounter().GetValue()
+	}
+	for _, m := range families["process_cpu_seconds_total"].GetMetric() {
+		c.CPUSeconds += m.GetCounter().GetValue()
+	}
+	for _, m := range families["process_resident_memory_bytes"].GetMetric() {
+		c.Memory = max(c.Memory, m.GetGauge().GetValue())
+	}
+	return nil
+}
+
+// Sub returns what was counted since before.
+func (c Counts) Sub(before Counts) Counts {
+	out := Counts{
+		Upstream: map[string]float64{}, Forwards: map[string]float64{},
+		Platform: c.Platform - before.Platform, CPUSeconds: c.CPUSeconds - before.CPUSeconds, Memory: c.Memory,
+	}
+	for k, v := range c.Upstream {
+		out.Upstream[k] = v - before.Upstream[k]
+	}
+	for k, v := range c.Forwards {
+		out.Forwards[k] = v - before.Forwards[k]
+	}
+	return out
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,357 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"radishweir.org/lib/caller"
+	"radishweir.org/lib/operator"
+)
+
+// programs is the folder of the built programs, set by TestMain.
+var programs string
+
+// token is the bearer token of the tenant in all tests.
+const token = "quixada-token"
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "radishweir")
+	if err != nil {
+		panic(err)
+	}
+	programs = dir
+	for _, p := range []string{"radishweir", "radishweirctl", "standin"} {
+		out, err := exec.Command("go", "build", "-race", "-o", filepath.Join(dir, p), "../"+p).CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %s\n", p, out)
+			os.Exit(1)
+		}
+	}
+	os.Setenv("PATH", dir+string(os.PathListSeparator)+os.Getenv("PATH"))
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	*exec.Cmd
+	args []string
+	log  *output
+	done chan error
+}
+
+// output collects what a program prints.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+// fleet is a set of processes on loopback.
+type fleet struct {
+	t         testing.TB
+	dir       string
+	platform  string
+	domains   []string
+	entries   map[string]*process
+	upstreams []string
+	callers   map[string]string
+	operators map[string]string
+	vms       []map[string]any
+}
+
+// freeAddress returns an address whose port is free for TCP and UDP.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := l.Addr().String()
+		l.Close()
+		if u, err := net.ListenPacket("udp", a); err == nil {
+			u.Close()
+			return a
+		}
+	}
+}
+
+// start runs a program until the test ends.
+func (f *fleet) start(args ...string) *process {
+	f.t.Helper()
+	p := &process{Cmd: exec.Command(filepath.Join(programs, args[0]), args[1:]...), args: args, log: &output{}, done: make(chan error, 1)}
+	p.Stderr, p.Stdout = p.log, p.log
+	if err := p.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { p.done <- p.Wait() }()
+	f.t.Cleanup(func() {
+		_ = p.Process.Signal(syscall.SIGCONT)
+		_ = p.Process.Kill()
+		<-time.After(10 * time.Millisecond)
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			f.t.Errorf("%v: data race", p.args)
+		}
+		if f.t.Failed() {
+			f.t.Logf("%v:\n%s", p.args, tail(p.log.String()))
+		}
+	})
+	return p
+}
+
+func tail(s string) string {
+	lines := strings.Split(s, "\n")
+	return strings.Join(lines[max(0, len(lines)-30):], "\n")
+}
+
+// newFleet starts a platform, upstreams and entries; each domain has as many
+// entries as given and two upstreams.
+func newFleet(t testing.TB, perDomain int, domains ...string) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, dir: t.TempDir(), platform: freeAddress(t), domains: domains,
+		entries: map[string]*process{}, callers: map[string]string{}, operators: map[string]string{},
+	}
+	f.start("standin", "platform", "--address", f.platform)
+	var names []string
+	for _, d := range domains {
+		for range 2 {
+			f.addUpstream(d)
+		}
+		for range perDomain {
+			n := fmt.Sprintf("entry-%d", len(f.callers)+1)
+			names = append(names, "--names", n)
+			f.settings(n, d)
+		}
+	}
+	f.await("platform", func() bool { return f.admin(f.platform, "vms", map[string]any{"vms": f.vms}) == nil })
+	f.ctl(0, append([]string{"keys", "issue", filepath.Join(f.dir, "keys")}, names...)...)
+	for n := range f.callers {
+		f.entries[n] = f.start("radishweir", "--settings", f.settingsFile(n))
+	}
+	f.await("entries to register", func() bool { return f.registered() == len(f.callers) })
+	f.questionnaire("claims", true)
+	f.questionnaire("status", false)
+	f.awaitShards()
+	return f
+}
+
+// registered counts the entries that answer their status page.
+func (f *fleet) registered() int {
+	n := 0
+	for _, st := range f.statuses() {
+		if len(st.Members) == len(f.callers) {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitShards waits until every domain's shards are spread over its entries
+// and each entry has slots.
+func (f *fleet) awaitShards() {
+	f.t.Helper()
+	f.await("shards and slots", func() bool {
+		for _, st := range f.statuses() {
+			if len(st.Shards) != len(f.domains) || !hasShards(st) || !hasSlots(st) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func hasShards(st operator.Status) bool {
+	for _, t := range st.Shards {
+		for _, o := range t.Owners {
+			if o.Name == st.Name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hasSlots(st operator.Status) bool {
+	n := 0
+	for _, s := range st.Services {
+		for _, u := range s.Upstreams {
+			n += u.Slots
+		}
+	}
+	return n > 0
+}
+
+// statuses reads the status page of each entry that answers.
+func (f *fleet) statuses() map[string]operator.Status {
+	out := map[string]operator.Status{}
+	for n, a := range f.operators {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if st, err := operator.Fetch(ctx, a); err == nil {
+			out[n] = st
+		}
+		cancel()
+	}
+	return out
+}
+
+// addUpstream starts an upstream and adds it to the VM list.
+func (f *fleet) addUpstream(domain string) {
+	n := fmt.Sprintf("upstream-%d", len(f.upstreams)+1)
+	a := freeAddress(f.t)
+	f.start("standin", "upstream", "--address", a, "--name", n)
+	f.upstreams = append(f.upstreams, a)
+	f.vms = append(f.vms, map[string]any{
+		"name": n, "instance": "1", "role": "upstream", "group": "claims", "failure_domain": domain, "address": a,
+	})
+}
+
+func (f *fleet) settingsFile(name string) string { return filepath.Join(f.dir, name+".toml") }
+
+// settings writes the settings of an entry and adds its VM to the list.
+func (f *fleet) settings(name, domain string) {
+	f.callers[name], f.operators[name] = freeAddress(f.t), freeAddress(f.t)
+	text := fmt.Sprintf(`name = %q
+failure_domain = %q
+caller_address = %q
+entry_address = %q
+operator_address = %q
+platform_addresses = [%q]
+certificate_file = "%[7]s/keys/%[1]s.pem"
+key_file = "%[7]s/keys/%[1]s.key"
+authority_file = "%[7]s/keys/authority.pem"
+balancer_wait = "300ms"
+drain_limit = "20s"
+`, name, domain, f.callers[name], freeAddress(f.t), f.operators[name], f.platform, f.dir)
+	if err := os.WriteFile(f.settingsFile(name), []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.vms = append(f.vms, map[string]any{"name": name, "instance": "1", "role": "entry", "failure_domain": domain})
+}
+
+// questionnaire applies a questionnaire for a service.
+func (f *fleet) questionnaire(service string, never bool) {
+	f.t.Helper()
+	file := filepath.Join(f.dir, service+".toml")
+	domains, _ := json.Marshal(f.domains)
+	text := fmt.Sprintf(`service = %q
+requests = "test"
+must_never_repeat = %v
+typical_run = "20ms"
+longest_run = "5s"
+answer_within = "20s"
+upstream_group = "claims"
+failure_domains = %s
+[[tenants]]
+name = "quixada"
+token_sha256 = "98f2d7c5b6dbc9ef28d8d4ab5ea54cd8ed0f53f8ee1ff0ee65cf5cd1ce2cb6fa"
+`, service, never, domains)
+	text = strings.Replace(text, "98f2d7c5b6dbc9ef28d8d4ab5ea54cd8ed0f53f8ee1ff0ee65cf5cd1ce2cb6fa", tokenHash(token), 1)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.ctl(0, "questionnaire", "apply", file, "--wait")
+}
+
+// ctl runs radishweirctl and expects an exit code.
+func (f *fleet) ctl(code int, args ...string) string {
+	f.t.Helper()
+	args = append([]string{"--platform", f.platform, "--author", "tester"}, args...)
+	cmd := exec.Command(filepath.Join(programs, "radishweirctl"), args...)
+	out, _ := cmd.CombinedOutput()
+	if cmd.ProcessState.ExitCode() != code {
+		f.t.Fatalf("radishweirctl %v: exit %d, want %d: %s", args, cmd.ProcessState.ExitCode(), code, out)
+	}
+	return string(out)
+}
+
+// admin puts a value to a stand-in.
+func (f *fleet) admin(address, what string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(http.MethodPut, "http://"+address+"/admin/"+what, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// fault sets the faults of every upstream.
+func (f *fleet) fault(v map[string]any) {
+	f.t.Helper()
+	for _, a := range f.upstreams {
+		if err := f.admin(a, "faults", v); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// starts counts the recorded starts of each task over all upstreams.
+func (f *fleet) starts() map[string]int {
+	f.t.Helper()
+	out := map[string]int{}
+	for _, a := range f.upstreams {
+		resp, err := http.Get("http://" + a + "/admin/starts")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var list []struct {
+			Task string `json:"task"`
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+			f.t.Fatal(err)
+		}
+		resp.Body.Close()
+		for _, s := range list {
+			out[s.Task]++
+		}
+	}
+	return out
+}
+
+// await polls until ok holds.
+func (f *fleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("waited in vain for %s", what)
+}
+
+// client returns a caller's client of one entry.
+func (f *fleet) client(entry string) *caller.Client {
+	return &caller.Client{Address: f.callers[entry], Token: token, HTTP: &http.Client{Timeout: 30 * time.Second}}
+}
--- /dev/null
+++ b/radishweirctl/internal/commander/questionnaire.go
@@ -0,0 +1,220 @@
+package commander
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/configurer"
+	"radishweir.org/lib/generator"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/wire"
+)
+
+// emptyQuestionnaire is the form that operators fill in.
+//
+//go:embed questionnaire.toml
+var emptyQuestionnaire string
+
+// questionnaireInit prints an example to fill in.
+func (c *Commander) questionnaireInit(context.Context) error {
+	_, err := fmt.Fprint(c.Out, emptyQuestionnaire)
+	return err
+}
+
+// load reads and checks the questionnaire file.
+func (c *Commander) load() (*generator.Questionnaire, error) {
+	data, err := os.ReadFile(c.file)
+	if err != nil {
+		return nil, &usageError{errors.Errorf("questionnaire %s cannot be read", c.file)}
+	}
+	q, err := generator.Parse(c.file, data)
+	if err != nil {
+		return nil, &usageError{err}
+	}
+	return q, nil
+}
+
+// questionnaireCheck prints what would be generated, and from which answer.
+func (c *Commander) questionnaireCheck(context.Context) error {
+	q, err := c.load()
+	if err != nil {
+		return err
+	}
+	_, lines := q.Generate()
+	rows := [][]string{{"KEY", "VALUE", "FROM ANSWER"}}
+	for _, l := range lines {
+		rows = append(rows, []string{l.Key, l.Value, l.Answer})
+	}
+	return c.print(lines, rows)
+}
+
+// applied is the result of an apply.
+type applied struct {
+	Service  string    `json:"service"`
+	Revision uint64    `json:"revision"`
+	WriteID  string    `json:"write_id"`
+	InForce  []inForce `json:"in_force,omitempty"`
+}
+
+// inForce tells when one entry had a revision in force.
+type inForce struct {
+	Entry   string  `json:"entry"`
+	InForce bool    `json:"in_force"`
+	Seconds float64 `json:"seconds"`
+}
+
+// questionnaireApply generates a configuration and puts it in force.
+func (c *Commander) questionnaireApply(ctx context.Context) error {
+	q, err := c.load()
+	if err != nil {
+		return err
+	}
+	s, _ := q.Generate()
+	a := configurer.Applier{Store: c.store, Author: c.Author, BasedOn: c.basedOn, Floor: c.floor(ctx, s.GetService())}
+	if err := a.Apply(ctx, s); err != nil {
+		return c.explain(err, s)
+	}
+	res := applied{Service: s.GetService(), Revision: s.GetRevision(), WriteID: s.GetWriteId()}
+	if !c.asJSON {
+		fmt.Fprintf(c.Out, "accepted revision %d of %s\n", res.Revision, res.Service)
+	}
+	if c.wait {
+		err = c.await(ctx, &res)
+	}
+	if c.asJSON {
+		return errors.Join(c.print(res, nil), err)
+	}
+	return err
+}
+
+// floor is the highest revision of a service that any entry has in force.
+func (c *Commander) floor(ctx context.Context, service string) uint64 {
+	var n uint64
+	for _, st := range c.fetchAll(ctx) {
+		for _, s := range st.status.Services {
+			if s.Name == service {
+				n = max(n, s.Revision)
+			}
+		}
+	}
+	return n
+}
+
+// explain adds the difference to a lost race.
+func (c *Commander) explain(err error, s *wire.ServiceConfiguration) error {
+	var race *configurer.RaceError
+	if errors.As(err, &race) {
+		for _, line := range difference(race.Winner.GetQuestionnaire(), s.GetQuestionnaire()) {
+			fmt.Fprintln(c.Err, line)
+		}
+	}
+	return err
+}
+
+// difference lists the answers that only one of two questionnaires has.
+func difference(theirs, ours string) []string {
+	var out []string
+	for _, side := range []struct{ sign, a, b string }{{"theirs: ", theirs, ours}, {"yours:  ", ours, theirs}} {
+		other := make(map[string]bool)
+		for _, l := range strings.Split(side.b, "\n") {
+			other[strings.TrimSpace(l)] = true
+		}
+		for _, l := range strings.Split(side.a, "\n") {
+			if l = strings.TrimSpace(l); l != "" && !other[l] {
+				out = append(out, side.sign+l)
+			}
+		}
+	}
+	return out
+}
+
+// await shows entry by entry when the revision is in force.
+func (c *Commander) await(ctx context.Context, res *applied) error {
+	began := time.Now()
+	done := make(map[string]bool)
+	for {
+		missing := 0
+		for _, f := range c.fetchAll(ctx) {
+			if done[f.name] {
+				continue
+			}
+			if f.revision(res.Service) < res.Revision {
+				missing++
+				continue
+			}
+			done[f.name] = true
+			d := time.Since(began).Seconds()
+			res.InForce = append(res.InForce, inForce{f.name, true, d})
+			if !c.asJSON {
+				fmt.Fprintf(c.Out, "in force on %s after %.2f s\n", f.name, d)
+			}
+		}
+		if missing == 0 {
+			return nil
+		}
+		if time.Since(began) > inForceTimeout || ctx.Err() != nil {
+			return &notInForceError{errors.Errorf("revision %d is not in force on %d entries", res.Revision, missing)}
+		}
+		time.Sleep(awaitInterval)
+	}
+}
+
+// awaitInterval is the time between two looks at the entries.
+const awaitInterval = 50 * time.Millisecond
+
+// questionnaireShow prints the questionnaire in force.
+func (c *Commander) questionnaireShow(ctx context.Context) error {
+	s, _, err := configurer.Current(ctx, c.store, c.service)
+	if err != nil {
+		return err
+	}
+	if s == nil {
+		return errors.Errorf("service %s has no configuration", c.service)
+	}
+	if c.asJSON {
+		data, err := protojson.MarshalOptions{UseProtoNames: true, Multiline: true}.Marshal(s)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(c.Out, string(data))
+		return err
+	}
+	_, err = fmt.Fprint(c.Out, s.GetQuestionnaire())
+	return err
+}
+
+// past is one revision of a service.
+type past struct {
+	Revision  uint64    `json:"revision"`
+	Author    string    `json:"author"`
+	AppliedAt time.Time `json:"applied_at"`
+	WriteID   string    `json:"write_id"`
+}
+
+// questionnaireHistory lists the revisions that the platform keeps.
+func (c *Commander) questionnaireHistory(ctx context.Context) error {
+	snap, err := c.store.List(ctx, platform.HistoryPrefix+c.service+"/")
+	if err != nil {
+		return err
+	}
+	var list []past
+	rows := [][]string{{"REVISION", "AUTHOR", "APPLIED AT"}}
+	for _, kv := range snap.KeyValues {
+		s, err := configurer.Decode(kv.Value)
+		if err != nil {
+			return err
+		}
+		p := past{s.GetRevision(), s.GetAuthor(), s.GetAppliedAt().AsTime(), s.GetWriteId()}
+		list = append(list, p)
+		rows = append(rows, []string{strconv.FormatUint(p.Revision, 10), p.Author, p.AppliedAt.Format(time.RFC3339)})
+	}
+	return c.print(list, rows)
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,290 @@
+// Package worker is a small stand-in for an upstream.
+//
+// It runs a task by waiting: the input's first number is the run time at speed
+// 1 in microseconds. The output is the task's identifier, a space and the
+// input. Every start is recorded, so that a test can judge what ran.
+//
+//	GET /admin/starts  the recorded starts, in JSON
+//	PUT /admin/faults  sets the faults, body as in Faults
+//
+// # Usage
+//
+//	w := &worker.Worker{Name: "upstream-1", Slots: 8, Speed: 2}
+//	http.ListenAndServe(addr, w.Handler())
+package worker
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"radishweir.org/lib/upstream"
+)
+
+const (
+	// DefaultSlots is the number of tasks that run at once.
+	DefaultSlots = 8
+	// HeaderTimeout bounds the time that a client takes for its headers.
+	HeaderTimeout = 5 * time.Second
+	// maxRemembered bounds the ended tasks that a status call can find.
+	maxRemembered = 100_000
+)
+
+// Faults are what goes wrong with the upstream.
+type Faults struct {
+	// Fail answers every task with an error at once.
+	Fail bool `json:"fail"`
+	// Straggle multiplies every run time; 0 and 1 change nothing.
+	Straggle float64 `json:"straggle"`
+	// Silent never answers a request that arrives on a used connection.
+	Silent bool `json:"silent"`
+	// Leaving marks every answer and refuses nothing.
+	Leaving bool `json:"leaving"`
+	// Drop breaks the connection after a task has run.
+	Drop bool `json:"drop"`
+	// Cross answers with the identifier of another task.
+	Cross bool `json:"cross"`
+}
+
+// Start is one recorded start of a task.
+type Start struct {
+	Task    string    `json:"task"`
+	Attempt string    `json:"attempt"`
+	Lease   string    `json:"lease"`
+	At      time.Time `json:"at"`
+}
+
+// run is one task that runs or ran here.
+type run struct {
+	attempt string
+	cancel  chan struct{}
+	done    bool
+	status  int
+	output  []byte
+}
+
+// Worker is the stand-in. Exported fields are set before use.
+type Worker struct {
+	// Name is the name in the VM list.
+	Name string
+	// Slots is the number of tasks that run at once.
+	Slots int
+	// Speed divides the run time.
+	Speed float64
+
+	mu     sync.Mutex
+	busy   int
+	runs   map[string]*run
+	order  []string
+	starts []Start
+	faults Faults
+	used   map[string]bool
+}
+
+// Handler returns the routes.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tasks/{id}", w.start)
+	mux.HandleFunc("GET /v1/tasks/{id}", w.status)
+	mux.HandleFunc("DELETE /v1/tasks/{id}", w.cancel)
+	mux.HandleFunc("GET /admin/starts", w.listStarts)
+	mux.HandleFunc("PUT /admin/faults", w.putFaults)
+	return mux
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// Starts returns the recorded starts.
+func (w *Worker) Starts() []Start {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Start(nil), w.starts...)
+}
+
+func (w *Worker) start(rw http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	input, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t, code := w.begin(id, r)
+	if t == nil {
+		w.refuse(rw, code)
+		return
+	}
+	w.perform(t, id, input)
+	if w.silent(r) {
+		<-r.Context().Done()
+		return
+	}
+	w.mu.Lock()
+	drop := w.faults.Drop
+	w.mu.Unlock()
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	w.answer(rw, id, t)
+}
+
+// begin takes a slot and records the start, or says why it did not.
+func (w *Worker) begin(id string, r *http.Request) (*run, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	deadline, err := time.Parse(time.RFC3339Nano, r.Header.Get(upstream.HeaderDeadline))
+	if err != nil || time.Now().After(deadline) {
+		return nil, http.StatusGone
+	}
+	if w.busy >= w.Slots {
+		return nil, http.StatusTooManyRequests
+	}
+	if w.runs == nil {
+		w.runs = make(map[string]*run)
+		w.used = make(map[string]bool)
+	}
+	w.busy++
+	t := &run{attempt: r.Header.Get(upstream.HeaderAttempt), cancel: make(chan struct{})}
+	w.runs[id] = t
+	w.order = append(w.order, id)
+	if len(w.order) > maxRemembered {
+		delete(w.runs, w.order[0])
+		w.order = w.order[1:]
+	}
+	w.starts = append(w.starts, Start{id, t.attempt, r.Header.Get(upstream.HeaderLease), time.Now()})
+	return t, 0
+}
+
+// perform waits for the task's run time, its cancellation or a failure.
+func (w *Worker) perform(t *run, id string, input []byte) {
+	w.mu.Lock()
+	f := w.faults
+	w.mu.Unlock()
+	d := w.runTime(input, f)
+	canceled := false
+	if !f.Fail {
+		timer := time.NewTimer(d)
+		select {
+		case <-timer.C:
+		case <-t.cancel:
+			canceled = true
+		}
+		timer.Stop()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy--
+	t.done = true
+	t.status = http.StatusOK
+	if f.Fail || canceled {
+		t.status = http.StatusInternalServerError
+	}
+	t.output = append([]byte(id+" "), input...)
+}
+
+// runTime is the time that a task takes here.
+func (w *Worker) runTime(input []byte, f Faults) time.Duration {
+	first, _, _ := strings.Cut(string(input), " ")
+	us, _ := strconv.Atoi(first)
+	d := float64(us) / w.Speed
+	if f.Straggle > 1 {
+		d *= f.Straggle
+	}
+	return time.Duration(d) * time.Microsecond
+}
+
+// silent reports whether the connection of r has lost its way back.
+func (w *Worker) silent(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.faults.Silent && w.used[r.RemoteAddr] {
+		return true
+	}
+	w.used[r.RemoteAddr] = true
+	return false
+}
+
+// refuse tells that a task did not run.
+func (w *Worker) refuse(rw http.ResponseWriter, status int) {
+	w.mark(rw)
+	rw.Header().Set(upstream.HeaderVerdict, "not_run")
+	rw.WriteHeader(status)
+}
+
+// answer tells how a task ended.
+func (w *Worker) answer(rw http.ResponseWriter, id string, t *run) {
+	w.mark(rw)
+	w.mu.Lock()
+	if w.faults.Cross {
+		id += "-crossed"
+	}
+	status, output, attempt := t.status, t.output, t.attempt
+	w.mu.Unlock()
+	rw.Header().Set(upstream.HeaderTask, id)
+	rw.Header().Set(upstream.HeaderAttempt, attempt)
+	rw.WriteHeader(status)
+	_, _ = rw.Write(output)
+}
+
+// mark adds the upstream's own word that it is leaving.
+func (w *Worker) mark(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.faults.Leaving {
+		rw.Header().Set(upstream.HeaderLeaving, "true")
+	}
+}
+
+func (w *Worker) status(rw http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	w.mu.Lock()
+	t := w.runs[id]
+	running := t != nil && !t.done
+	w.mu.Unlock()
+	switch {
+	case t == nil:
+		rw.WriteHeader(http.StatusNotFound)
+	case running:
+		rw.WriteHeader(http.StatusAccepted)
+	default:
+		w.answer(rw, id, t)
+	}
+}
+
+func (w *Worker) cancel(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.runs[r.PathValue("id")]
+	if t == nil {
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !t.done {
+		select {
+		case <-t.cancel:
+		default:
+			close(t.cancel)
+		}
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func (w *Worker) listStarts(rw http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(rw).Encode(w.Starts())
+}
+
+func (w *Worker) putFaults(rw http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.SetFaults(f)
+}
