Lend idle slots between entries; keep verdicts true for the identifier

Ruled out: stealing queued tasks, since only the home may start a task that must not repeat; slots move instead.

Change: a pool with waiting tasks borrows idle slots on hints from heartbeats, for 2 s at most, and returns them in batches when nothing waits. Refusals go through one function that says not_run only for a first attempt. Epochs follow the clock, so that an epoch lost by a restored platform is not used again. A caller whose home cannot be reached gets a fresh identifier with the refusal.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -32,8 +32,8 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
-	"radishweir.org/lib/classifier"
 	"radishweir.org/lib/forwarder"
+	"radishweir.org/lib/tracker"
 	"radishweir.org/lib/wire"
 )
 
@@ -200,7 +200,7 @@
 		Tenant: c.tenant, Service: c.service, Job: job, Wait: wait,
 	})
 	if err != nil {
-		answer = refusal(job.GetJobId(), err)
+		answer = tracker.Refusal(job.GetJobId(), err)
 	}
 	if wait {
 		s.Recorder.Response(c.service.GetService(), c.tenant.GetName(), time.Since(began))
@@ -228,7 +228,7 @@
 		return refuse(http.StatusNotFound, "the job is not known")
 	}
 	if err != nil {
-		answer = refusal(l.GetJobId(), err)
+		answer = tracker.Refusal(l.GetJobId(), err)
 	}
 	return writeAnswer(w, r, answer)
 }
@@ -249,14 +249,3 @@
 	}
 	return writeMessage(w, r, http.StatusOK, &wire.IdentifierBlock{JobIds: ids})
 }
-
-// refusal is the answer to a job that failed with err before it had a home.
-func refusal(id string, err error) *wire.JobAnswer {
-	a := &wire.JobAnswer{
-		JobId: id, State: wire.JobState_failed, Verdict: classifier.Of(err), Reason: err.Error(),
-	}
-	if e, ok := classifier.As(err); ok {
-		a.RetryAfterMs = uint32(e.RetryAfter.Milliseconds())
-	}
-	return a
-}
--- a/lib/dispatcher/decision.go
+++ b/lib/dispatcher/decision.go
@@ -46,6 +46,9 @@
 		p.fail(a, verdict, err)
 	}
 	p.dispatch()
+	if a.slot.loan != nil {
+		p.giveBackSoon()
+	}
 }
 
 // stop ends the attempt's timers.
--- a/lib/dispatcher/dispatcher.go
+++ b/lib/dispatcher/dispatcher.go
@@ -106,6 +106,12 @@
 	Client Runner
 	// Recorder counts and observes.
 	Recorder Recorder
+	// Hungry is called when tasks of a service wait while no slot is free.
+	Hungry func(service string, need int)
+	// Idle returns the slots of a service that other entries could lend.
+	Idle func(service string) int
+	// GiveBack returns slots to the entry that lent them.
+	GiveBack func(lender, service string, loans []*wire.SlotLoan)
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -193,8 +199,8 @@
 	l := Load{Waiting: p.queue.Len(), Running: p.running}
 	for _, s := range p.order {
 		u := UpstreamLoad{Target: s.Target, Busy: s.busy, RunSeconds: s.seconds, Ejected: now.Before(s.ejectedUntil)}
-		if s.free(now) {
-			l.Idle += s.Slots - s.busy
+		if s.loan == nil && s.free(now) {
+			l.Idle += s.Slots - s.busy - s.lent
 		}
 		l.Upstreams = append(l.Upstreams, u)
 	}
--- /dev/null
+++ b/lib/dispatcher/loans.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// loanLife is how long a borrower may start tasks on lent slots.
+	loanLife = 2 * time.Second
+	// returnLimit is how long after that an owner waits for their return.
+	returnLimit = 10 * time.Second
+	// returnDelay gathers slots that become idle into one return.
+	returnDelay = 20 * time.Millisecond
+)
+
+// loan is the borrower's side of lent slots.
+type loan struct {
+	// lender is the name of the entry that owns the slots.
+	lender string
+	until  time.Time
+}
+
+// Lend gives idle slots to another entry, the fastest first, while no task
+// waits here. The loans end by Reclaim, or by themselves long after the
+// borrower stopped using them.
+func (p *Pool) Lend(want int) []*wire.SlotLoan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Len() > 0 {
+		return nil
+	}
+	until := time.Now().Add(loanLife)
+	var out []*wire.SlotLoan
+	for want > 0 {
+		s := p.idlest()
+		if s == nil {
+			break
+		}
+		n := min(want, s.Slots-s.busy-s.lent)
+		s.lent += n
+		want -= n
+		out = append(out, &wire.SlotLoan{
+			Upstream: s.Name, Instance: s.Instance, Address: s.Address, Slots: uint32(n),
+			Until: timestamppb.New(until), RunSeconds: s.seconds,
+		})
+	}
+	if len(out) > 0 {
+		time.AfterFunc(loanLife+returnLimit, func() { p.Reclaim(out) })
+	}
+	return out
+}
+
+// idlest returns the fastest upstream with an own idle slot, or nil; the
+// caller holds the lock.
+func (p *Pool) idlest() *slots {
+	now := time.Now()
+	var best *slots
+	for _, s := range p.order {
+		if s.loan == nil && s.free(now) && s.failures < failureLimit &&
+			(best == nil || s.Estimate() < best.Estimate()) {
+			best = s
+		}
+	}
+	return best
+}
+
+// Reclaim takes lent slots back. What was returned before is not counted
+// again.
+func (p *Pool) Reclaim(loans []*wire.SlotLoan) {
+	p.mu.Lock()
+	for _, l := range loans {
+		s := p.targets[l.GetUpstream()]
+		if s == nil || s.Instance != l.GetInstance() {
+			continue
+		}
+		s.lent = max(0, s.lent-int(l.GetSlots()))
+		l.Slots = 0
+	}
+	p.mu.Unlock()
+	p.dispatch()
+}
+
+// Adopt uses slots that another entry lent.
+func (p *Pool) Adopt(lender string, loans []*wire.SlotLoan) {
+	p.mu.Lock()
+	for _, l := range loans {
+		p.order = append(p.order, &slots{
+			Target: Target{
+				Name: l.GetUpstream(), Instance: l.GetInstance(), Address: l.GetAddress(), Slots: int(l.GetSlots()),
+			},
+			seconds: l.GetRunSeconds(),
+			loan:    &loan{lender, l.GetUntil().AsTime()},
+			prior:   func() float64 { return p.mean },
+		})
+	}
+	p.mu.Unlock()
+	p.dispatch()
+	p.giveBackSoon()
+}
+
+// giveBackSoon returns idle borrowed slots together.
+func (p *Pool) giveBackSoon() {
+	if p.returning.Swap(true) {
+		return
+	}
+	time.AfterFunc(returnDelay, func() {
+		p.returning.Store(false)
+		p.giveBack()
+	})
+}
+
+// giveBack returns the borrowed slots that are idle while no task waits, or
+// whose time is over.
+func (p *Pool) giveBack() {
+	if p.GiveBack == nil {
+		return
+	}
+	back := make(map[string][]*wire.SlotLoan)
+	p.mu.Lock()
+	now := time.Now()
+	kept := p.order[:0]
+	for _, s := range p.order {
+		idle := s.Slots - s.busy
+		if s.loan == nil || idle == 0 || p.queue.Len() > 0 && now.Before(s.loan.until) {
+			kept = append(kept, s)
+			continue
+		}
+		back[s.loan.lender] = append(back[s.loan.lender], &wire.SlotLoan{
+			Upstream: s.Name, Instance: s.Instance, Slots: uint32(idle),
+		})
+		if s.Slots = s.busy; s.busy > 0 {
+			kept = append(kept, s)
+		}
+	}
+	clear(p.order[len(kept):])
+	p.order = kept
+	p.mu.Unlock()
+	for lender, loans := range back {
+		p.GiveBack(lender, p.name, loans)
+	}
+}
+
+// need is the number of tasks that wait while no slot is free.
+func (p *Pool) need() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.freeSlots()) > 0 {
+		return 0
+	}
+	return p.queue.Len()
+}
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -43,6 +43,8 @@
 	retries budget
 	hedges  budget
 	runs    runTimes
+	// returning is true while a return of borrowed slots is due.
+	returning atomic.Bool
 }
 
 func newPool(d *Dispatcher, name string) *Pool {
@@ -131,6 +133,9 @@
 func (p *Pool) admit(tasks []*Task) error {
 	first := tasks[0]
 	capacity := p.capacity()
+	if capacity == 0 && p.elsewhere() {
+		capacity = 1
+	}
 	if capacity == 0 {
 		return classifier.Later("no upstream of the service is live", p.advice(time.Second))
 	}
@@ -159,6 +164,9 @@
 	return n
 }
 
+// elsewhere reports whether slots may be borrowed from other entries.
+func (p *Pool) elsewhere() bool { return p.Idle != nil && p.Idle(p.name) > 0 }
+
 // quota returns the tasks that a tenant may have open; 0 for any number.
 func (p *Pool) quota(tenant string) int {
 	for _, t := range p.cfg.Load().GetTenants() {
@@ -189,10 +197,13 @@
 		t, s := p.match()
 		p.mu.Unlock()
 		if t == nil {
-			return
+			break
 		}
 		go p.run(t, s, startKind(t))
 	}
+	if n := p.need(); n > 0 && p.Hungry != nil {
+		p.Hungry(p.name, n)
+	}
 }
 
 func startKind(t *Task) string {
--- a/lib/dispatcher/slots.go
+++ b/lib/dispatcher/slots.go
@@ -29,6 +29,10 @@
 type slots struct {
 	Target
 	busy int
+	// lent counts own slots that another entry uses.
+	lent int
+	// loan is set on slots that another entry lent.
+	loan *loan
 	// seconds is the moving average of the run time of successful tasks.
 	seconds float64
 	// failures counts failures in a row.
@@ -53,7 +57,10 @@
 
 // free reports whether the upstream can take a task now.
 func (s *slots) free(now time.Time) bool {
-	if s.removed || s.Leaving || s.busy >= s.Slots || now.Before(s.ejectedUntil) {
+	if s.removed || s.Leaving || s.busy+s.lent >= s.Slots || now.Before(s.ejectedUntil) {
+		return false
+	}
+	if s.loan != nil && !now.Before(s.loan.until) {
 		return false
 	}
 	// After an ejection a single task probes the upstream.
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -138,9 +138,25 @@
 	if err != nil && r.Service.GetRepeatable() && t.lost(err) {
 		return f.submitAt(ctx, tracker.Local, r, 0)
 	}
+	if err != nil && t.lost(err) {
+		return f.redirect(r, err), nil
+	}
 	return answer, err
 }
 
+// redirect refuses a job whose home cannot be reached. A caller whose job did
+// not run gets an identifier under which it can be submitted here at once.
+func (f *Forwarder) redirect(r Request, err error) *wire.JobAnswer {
+	a := tracker.Refusal(r.Job.GetJobId(), err)
+	if a.GetVerdict() != classifier.NotRun {
+		return a
+	}
+	if ids, err := f.Issue(1); err == nil {
+		a.FreshJobId = ids[0]
+	}
+	return a
+}
+
 // submitAt hands the job to the own tracker.
 func (f *Forwarder) submitAt(ctx context.Context, s placer.Shard, r Request, delivered uint64) (*wire.JobAnswer, error) {
 	j, err := f.Tracker.Submit(ctx, s, tracker.Submission{
--- a/lib/placer/dealer.go
+++ b/lib/placer/dealer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -61,13 +62,19 @@
 		counts[m.GetName()]++
 		t.Shards[i] = &wire.ShardOwner{
 			Name: m.GetName(), Incarnation: m.GetIncarnation(),
-			Epoch: o.GetEpoch() + 1, TakenAt: timestamppb.Now(),
+			Epoch: nextEpoch(o.GetEpoch()), TakenAt: timestamppb.Now(),
 		}
 		n++
 	}
 	return n
 }
 
+// nextEpoch follows epoch. It takes the clock into account, so that an epoch
+// which the platform has lost is not used again.
+func nextEpoch(epoch uint64) uint64 {
+	return max(epoch+1, uint64(time.Now().UnixMilli()))
+}
+
 // live returns the registered, undrained members of the own failure domain,
 // by name.
 func (p *Placer) live() []registrar.Member {
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -26,6 +26,7 @@
 type Recorder struct {
 	messages  *prometheus.CounterVec
 	forwards  *prometheus.CounterVec
+	borrows   *prometheus.CounterVec
 	requests  *prometheus.CounterVec
 	platform  *prometheus.CounterVec
 	ended     *prometheus.CounterVec
@@ -48,6 +49,7 @@
 	return &Recorder{
 		messages: counter("upstream_messages_total", "Messages to upstreams by kind.", "service", "tenant", "kind"),
 		forwards: counter("forwards_total", "Jobs sent on to their home by result.", "service", "tenant", "result"),
+		borrows:  counter("slot_messages_total", "Messages about lent slots by result.", "service", "result"),
 		requests: counter("caller_requests_total", "Requests of callers by HTTP status.", "service", "tenant", "status"),
 		platform: counter("platform_calls_total", "Calls to the platform by result.", "operation", "result"),
 		ended:    counter("jobs_ended_total", "Jobs by state and verdict.", "service", "tenant", "state", "verdict"),
@@ -70,6 +72,11 @@
 	r.forwards.WithLabelValues(service, tenant, result).Inc()
 }
 
+// Borrow counts one message about lent slots with its result.
+func (r *Recorder) Borrow(service, result string) {
+	r.borrows.WithLabelValues(service, result).Inc()
+}
+
 // Wait observes the time that a task waited for a slot.
 func (r *Recorder) Wait(service, tenant string, d time.Duration) {
 	r.wait.WithLabelValues(service, tenant).Observe(d.Seconds())
--- a/lib/responder/responder.go
+++ b/lib/responder/responder.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"radishweir.org/lib/configurer"
+	"radishweir.org/lib/dispatcher"
 	"radishweir.org/lib/forwarder"
 	"radishweir.org/lib/placer"
 	"radishweir.org/lib/registrar"
@@ -32,6 +33,8 @@
 	Tracker *tracker.Tracker
 	// Forwarder finds jobs in the own shards.
 	Forwarder *forwarder.Forwarder
+	// Dispatcher holds the slots.
+	Dispatcher *dispatcher.Dispatcher
 	// Heartbeat describes this entry.
 	Heartbeat func() *wire.Heartbeat
 }
@@ -54,6 +57,10 @@
 		return r.handover(from, b.Handover)
 	case *wire.Envelope_Settle:
 		return r.settle(b.Settle)
+	case *wire.Envelope_Borrow:
+		return r.lend(b.Borrow)
+	case *wire.Envelope_ReturnSlots:
+		return r.reclaim(b.ReturnSlots)
 	}
 	return refuse("the request is not known to this release")
 }
@@ -145,3 +152,20 @@
 	}
 	return &wire.Reply{}
 }
+
+// lend gives idle slots to a peer whose tasks wait.
+func (r *Responder) lend(b *wire.Borrow) *wire.Reply {
+	p := r.Dispatcher.Pool(b.GetService())
+	if p == nil {
+		return refuse("the service is not known")
+	}
+	return &wire.Reply{Grant: &wire.Grant{Loans: p.Lend(int(b.GetSlots()))}}
+}
+
+// reclaim takes lent slots back.
+func (r *Responder) reclaim(b *wire.Return) *wire.Reply {
+	if p := r.Dispatcher.Pool(b.GetService()); p != nil {
+		p.Reclaim(b.GetLoans())
+	}
+	return &wire.Reply{}
+}
--- a/lib/tracker/shard.go
+++ b/lib/tracker/shard.go
@@ -75,23 +75,34 @@
 	return sub.Service != nil && now.After(known.Add(window+clockMargin))
 }
 
-// await waits for the end of a pause.
-func (sh *shard) await(ctx context.Context) error {
+// await waits for the end of a pause, unless the job is known.
+func (sh *shard) await(ctx context.Context, sub Submission) {
 	sh.mu.Lock()
+	_, known := sh.jobs[key{sub.Tenant, sub.Request.GetJobId()}]
 	isPaused, changed := sh.phase == paused, sh.changed
 	sh.mu.Unlock()
-	if !isPaused {
-		return nil
+	if !isPaused || known {
+		return
 	}
 	t := time.NewTimer(pauseLimit)
 	defer t.Stop()
 	select {
 	case <-changed:
-		return nil
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	return classifier.Later("the job's home is being handed over", time.Second)
+}
+
+// closed answers a submission to a shard that starts no job: a known job is
+// joined. The caller holds the lock.
+func (sh *shard) closed(sub Submission) (*Job, error) {
+	if sh.phase == released {
+		return nil, ErrNotHome
+	}
+	if j := sh.jobs[key{sub.Tenant, sub.Request.GetJobId()}]; j != nil {
+		return j, nil
+	}
+	return nil, refusal(sub, "the job's home is being handed over")
 }
 
 // Open starts to serve a shard as the table's owner record says. A shard that
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -109,13 +109,11 @@
 	if sh == nil {
 		return nil, ErrNotHome
 	}
-	if err := sh.await(ctx); err != nil {
-		return nil, err
-	}
+	sh.await(ctx, sub)
 	sh.mu.Lock()
 	if sh.phase != serving {
-		sh.mu.Unlock()
-		return nil, ErrNotHome
+		defer sh.mu.Unlock()
+		return sh.closed(sub)
 	}
 	j, create, err := t.find(sh, sub)
 	if err != nil || !create {
@@ -147,7 +145,7 @@
 		return j, false, nil
 	}
 	if old == nil && !t.room(sh, sub.Service) {
-		return nil, false, noRoom(sub)
+		return nil, false, refusal(sub, "the home has no memory for more jobs")
 	}
 	if old == nil {
 		t.counts.add(sub.Service.GetService(), 1)
@@ -176,10 +174,10 @@
 	return false
 }
 
-// noRoom refuses a job that cannot be remembered. An earlier attempt at it may
-// still be on its way and find room, so only the first is certain not to run.
-func noRoom(sub Submission) error {
-	e := classifier.Later("the home has no memory for more jobs", time.Second)
+// refusal refuses a job without a record of it. An earlier attempt may still
+// be on its way and be taken, so only the first is certain not to run.
+func refusal(sub Submission, reason string) error {
+	e := classifier.Later(reason, time.Second)
 	if !sub.Service.GetRepeatable() && sub.Request.GetAttempt() > 1 {
 		e.Verdict = classifier.MayHaveRun
 	}
@@ -230,13 +228,13 @@
 	}
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if sh.phase == released {
-		return nil, false, ErrNotHome
-	}
 	j = sh.jobs[key{tenant, id}]
 	if j != nil {
 		return j, true, nil
 	}
+	if sh.phase == released {
+		return nil, false, ErrNotHome
+	}
 	sub := Submission{Request: &wire.JobRequest{JobId: id}}
 	return nil, sh.certain(sub, time.Now()), nil
 }
--- a/load/internal/driver/driver.go
+++ b/load/internal/driver/driver.go
@@ -259,6 +259,11 @@
 	if !res.Refused || a.GetRetryAfterMs() == 0 || res.Canceled {
 		return false, 0
 	}
+	if fresh := a.GetFreshJobId(); fresh != "" {
+		res.Left = append(res.Left, res.ID)
+		req.JobId, req.Attempt, res.ID = fresh, 0, fresh
+		return true, 0
+	}
 	return true, time.Duration(a.GetRetryAfterMs()) * time.Millisecond
 }
 
--- a/load/internal/reporter/reporter.go
+++ b/load/internal/reporter/reporter.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	r, err := reporter.Measure(ctx, scenario)
+//	r := reporter.Measure(ctx, scenario)
 //	r.Print(os.Stdout, false)
 package reporter
 
@@ -56,11 +56,13 @@
 	Wasted     float64        `json:"wasted_messages_per_task"`
 	Forwards   float64        `json:"forwards_per_job"`
 	Messages   scraper.Counts `json:"messages"`
-	Broken     judge.Broken   `json:"broken"`
+	// Unread is the number of upstreams whose records could not be read.
+	Unread int          `json:"unread_upstreams"`
+	Broken judge.Broken `json:"broken"`
 }
 
 // Measure runs a scenario.
-func Measure(ctx context.Context, s *driver.Scenario) (*Report, error) {
+func Measure(ctx context.Context, s *driver.Scenario) *Report {
 	jobs := driver.Trace(s)
 	before := scraper.Read(ctx, s.Operators)
 	began := time.Now()
@@ -68,10 +70,8 @@
 	r := &Report{Jobs: len(jobs), Seconds: time.Since(began).Seconds()}
 	time.Sleep(settleTime)
 	r.Messages = scraper.Read(ctx, s.Operators).Sub(before)
-	starts, err := judge.Starts(ctx, s.Upstreams)
-	if err != nil {
-		return nil, err
-	}
+	starts, unread := judge.Starts(ctx, s.Upstreams)
+	r.Unread = unread
 	var judged []judge.Job
 	for _, res := range results {
 		judged = append(judged, res.Job)
@@ -80,7 +80,7 @@
 	r.count(results)
 	r.compare(s, jobs, results)
 	r.waste()
-	return r, nil
+	return r
 }
 
 // count sorts the jobs by how they ended.
@@ -165,6 +165,9 @@
 			wasted += n
 		}
 	}
+	for _, n := range r.Messages.Slots {
+		wasted += n
+	}
 	r.Wasted = wasted / float64(max(r.Tasks, 1))
 	r.Forwards = forwards / float64(max(r.Jobs, 1))
 }
@@ -189,8 +192,12 @@
 	line("response / omniscient replay", r.OverReplay)
 	fmt.Fprintf(w, "wasted messages per task %.4f  forwards per job %.3f  upstream messages %v\n",
 		r.Wasted, r.Forwards, r.Messages.Upstream)
+	fmt.Fprintf(w, "slot messages %v\n", r.Messages.Slots)
 	fmt.Fprintf(w, "entries: cpu %.2f s  largest memory %.1f MB  platform calls %.0f\n",
 		r.Messages.CPUSeconds, r.Messages.Memory/(1<<20), r.Messages.Platform)
 	fmt.Fprintf(w, "broken: started twice %d  partial %d  wrong caller %d  not_run that ran %d\n",
 		r.Broken.StartedTwice, r.Broken.Partial, r.Broken.WrongCaller, r.Broken.NotRunRan)
+	if r.Unread > 0 {
+		fmt.Fprintf(w, "upstreams whose records could not be read: %d\n", r.Unread)
+	}
 }
--- a/load/internal/scraper/scraper.go
+++ b/load/internal/scraper/scraper.go
@@ -12,6 +12,7 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 )
@@ -22,6 +23,8 @@
 	Upstream map[string]float64
 	// Forwards holds messages to homes by result.
 	Forwards map[string]float64
+	// Slots holds messages about lent slots by result.
+	Slots map[string]float64
 	// Platform is the number of calls to the platform.
 	Platform float64
 	// CPUSeconds is the processor time of the entries.
@@ -33,7 +36,7 @@
 // Read adds up the counters of the entries at addresses. Entries that do not
 // answer are left out.
 func Read(ctx context.Context, addresses []string) Counts {
-	c := Counts{Upstream: map[string]float64{}, Forwards: map[string]float64{}}
+	c := Counts{Upstream: map[string]float64{}, Forwards: map[string]float64{}, Slots: map[string]float64{}}
 	for _, a := range addresses {
 		_ = c.add(ctx, a)
 	}
@@ -56,20 +59,9 @@
 	if err != nil {
 		return errors.Wrap(err, "decode")
 	}
-	for _, m := range families["radishweir_upstream_messages_total"].GetMetric() {
-		for _, l := range m.GetLabel() {
-			if l.GetName() == "kind" {
-				c.Upstream[l.GetValue()] += m.GetCounter().GetValue()
-			}
-		}
-	}
-	for _, m := range families["radishweir_forwards_total"].GetMetric() {
-		for _, l := range m.GetLabel() {
-			if l.GetName() == "result" {
-				c.Forwards[l.GetValue()] += m.GetCounter().GetValue()
-			}
-		}
-	}
+	sum(families["radishweir_upstream_messages_total"], "kind", c.Upstream)
+	sum(families["radishweir_forwards_total"], "result", c.Forwards)
+	sum(families["radishweir_slot_messages_total"], "result", c.Slots)
 	for _, m := range families["radishweir_platform_calls_total"].GetMetric() {
 		c.Platform += m.GetCounter().GetValue()
 	}
@@ -82,17 +74,30 @@
 	return nil
 }
 
+// sum adds up a counter by the values of one label.
+func sum(f *dto.MetricFamily, label string, into map[string]float64) {
+	for _, m := range f.GetMetric() {
+		for _, l := range m.GetLabel() {
+			if l.GetName() == label {
+				into[l.GetValue()] += m.GetCounter().GetValue()
+			}
+		}
+	}
+}
+
 // Sub returns what was counted since before.
 func (c Counts) Sub(before Counts) Counts {
-	out := Counts{
-		Upstream: map[string]float64{}, Forwards: map[string]float64{},
-		Platform: c.Platform - before.Platform, CPUSeconds: c.CPUSeconds - before.CPUSeconds, Memory: c.Memory,
-	}
-	for k, v := range c.Upstream {
-		out.Upstream[k] = v - before.Upstream[k]
+	return Counts{
+		Upstream: minus(c.Upstream, before.Upstream), Forwards: minus(c.Forwards, before.Forwards),
+		Slots: minus(c.Slots, before.Slots), Platform: c.Platform - before.Platform,
+		CPUSeconds: c.CPUSeconds - before.CPUSeconds, Memory: c.Memory,
 	}
-	for k, v := range c.Forwards {
-		out.Forwards[k] = v - before.Forwards[k]
+}
+
+func minus(a, b map[string]float64) map[string]float64 {
+	out := make(map[string]float64, len(a))
+	for k, v := range a {
+		out[k] = v - b[k]
 	}
 	return out
 }
--- a/load/main.go
+++ b/load/main.go
@@ -41,11 +41,7 @@
 	override(s, load, seconds, seed)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	r, err := reporter.Measure(ctx, s)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(1)
-	}
+	r := reporter.Measure(ctx, s)
 	r.Print(os.Stdout, asJSON)
 	if r.Broken.Total() > 0 {
 		os.Exit(1)
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"radishweir.org/lib/borrower"
 	"radishweir.org/lib/caller"
 	"radishweir.org/lib/configurer"
 	"radishweir.org/lib/dispatcher"
@@ -64,6 +65,7 @@
 	sharer      *sharer.Sharer
 	forwarder   *forwarder.Forwarder
 	heartbeater *heartbeater.Heartbeater
+	borrower    *borrower.Borrower
 	entries     *entry.Client
 	entryServer *entry.Server
 	callers     *caller.Server
@@ -92,6 +94,7 @@
 	e.recorder = recorder.New(e.registry)
 	e.buildState()
 	e.buildPeers(tlsConfig)
+	e.buildLoans()
 	e.buildServers(tlsConfig)
 	e.connect()
 	return e, e.listen()
@@ -133,13 +136,21 @@
 	}
 }
 
+// buildLoans connects the pools to the slots of other entries.
+func (e *Entry) buildLoans() {
+	e.borrower = &borrower.Borrower{
+		Self: e.self, Members: e.registrar, Caller: e.entries, Pools: e.dispatcher, Recorder: e.recorder,
+	}
+	e.dispatcher.Hungry, e.dispatcher.GiveBack, e.dispatcher.Idle = e.borrower.Ask, e.borrower.GiveBack, e.borrower.Idle
+}
+
 // buildServers builds the three servers.
 func (e *Entry) buildServers(cfg *tls.Config) {
 	e.entryServer = &entry.Server{
 		Address: e.EntryAddress, TLS: cfg, Log: e.Log, Refused: e.recorder.Stranger,
 		Handler: &responder.Responder{
 			Self: e.self, Configurer: e.configurer, Registrar: e.registrar, Placer: e.placer,
-			Tracker: e.tracker, Forwarder: e.forwarder, Heartbeat: e.heartbeat,
+			Tracker: e.tracker, Forwarder: e.forwarder, Dispatcher: e.dispatcher, Heartbeat: e.heartbeat,
 		},
 	}
 	e.callers = &caller.Server{
