--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -113,8 +113,8 @@
 		if m.GetName() == b.Self.GetName() || !m.Reachable(now) || now.Before(b.quietUntil[ask{service, m.GetName()}]) {
 			continue
 		}
-		n := idle(m, service)
-		if n == 0 {
+		n, told := idle(m, service)
+		if n == 0 && told {
 			continue
 		}
 		score := 2*n + rand.IntN(2)
@@ -131,14 +131,14 @@
 	return out[:min(len(out), peersAsked)]
 }
 
-// idle returns a member's idle slots by its last hint.
-func idle(m registrar.Member, service string) int {
+// idle returns a member's idle slots by its last hint, if it gave one.
+func idle(m registrar.Member, service string) (n int, told bool) {
 	for _, l := range m.Loads {
 		if l.GetService() == service {
-			return int(l.GetIdleSlots())
+			return int(l.GetIdleSlots()), true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // Idle returns the slots of a service that other entries could lend.
@@ -147,7 +147,8 @@
 	now := time.Now()
 	for _, m := range b.Members.Members() {
 		if m.GetName() != b.Self.GetName() && m.Reachable(now) {
-			n += idle(m, service)
+			k, _ := idle(m, service)
+			n += k
 		}
 	}
 	return n
--- a/lib/dispatcher/loans.go
+++ b/lib/dispatcher/loans.go
@@ -19,11 +19,18 @@
 
 // loan is the borrower's side of lent slots.
 type loan struct {
+	id uint64
 	// lender is the name of the entry that owns the slots.
 	lender string
 	until  time.Time
 }
 
+// debt is the lender's side: the lent slots that have not come back.
+type debt struct {
+	slot *slots
+	left int
+}
+
 // Lend gives idle slots to another entry, the fastest first, while no task
 // waits here. The loans end by Reclaim, or by themselves long after the
 // borrower stopped using them.
@@ -43,17 +50,26 @@
 		n := min(want, s.Slots-s.busy-s.lent)
 		s.lent += n
 		want -= n
-		out = append(out, &wire.SlotLoan{
-			Upstream: s.Name, Instance: s.Instance, Address: s.Address, Slots: uint32(n),
-			Until: timestamppb.New(until), RunSeconds: s.seconds,
-		})
-	}
-	if len(out) > 0 {
-		time.AfterFunc(loanLife+returnLimit, func() { p.Reclaim(out) })
+		out = append(out, p.lend(s, n, until))
 	}
 	return out
 }
 
+// lend writes down one loan; the caller holds the lock.
+func (p *Pool) lend(s *slots, n int, until time.Time) *wire.SlotLoan {
+	p.lastLoan++
+	id := p.lastLoan
+	p.debts[id] = &debt{s, n}
+	time.AfterFunc(loanLife+returnLimit, func() {
+		p.reclaim(id, n)
+		p.dispatch()
+	})
+	return &wire.SlotLoan{
+		Upstream: s.Name, Instance: s.Instance, Address: s.Address, Slots: uint32(n),
+		Until: timestamppb.New(until), RunSeconds: s.seconds, Id: id,
+	}
+}
+
 // idlest returns the fastest upstream with an own idle slot, or nil; the
 // caller holds the lock.
 func (p *Pool) idlest() *slots {
@@ -68,22 +84,30 @@
 	return best
 }
 
-// Reclaim takes lent slots back. What was returned before is not counted
-// again.
+// Reclaim takes lent slots back.
 func (p *Pool) Reclaim(loans []*wire.SlotLoan) {
-	p.mu.Lock()
 	for _, l := range loans {
-		s := p.targets[l.GetUpstream()]
-		if s == nil || s.Instance != l.GetInstance() {
-			continue
-		}
-		s.lent = max(0, s.lent-int(l.GetSlots()))
-		l.Slots = 0
+		p.reclaim(l.GetId(), int(l.GetSlots()))
 	}
-	p.mu.Unlock()
 	p.dispatch()
 }
 
+// reclaim takes back up to n slots of one loan.
+func (p *Pool) reclaim(id uint64, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.debts[id]
+	if d == nil {
+		return
+	}
+	n = min(n, d.left)
+	d.left -= n
+	d.slot.lent -= n
+	if d.left == 0 {
+		delete(p.debts, id)
+	}
+}
+
 // Adopt uses slots that another entry lent.
 func (p *Pool) Adopt(lender string, loans []*wire.SlotLoan) {
 	p.mu.Lock()
@@ -93,7 +117,7 @@
 				Name: l.GetUpstream(), Instance: l.GetInstance(), Address: l.GetAddress(), Slots: int(l.GetSlots()),
 			},
 			seconds: l.GetRunSeconds(),
-			loan:    &loan{lender, l.GetUntil().AsTime()},
+			loan:    &loan{l.GetId(), lender, l.GetUntil().AsTime()},
 			prior:   func() float64 { return p.mean },
 		})
 	}
@@ -130,7 +154,7 @@
 			continue
 		}
 		back[s.loan.lender] = append(back[s.loan.lender], &wire.SlotLoan{
-			Upstream: s.Name, Instance: s.Instance, Slots: uint32(idle),
+			Upstream: s.Name, Instance: s.Instance, Slots: uint32(idle), Id: s.loan.id,
 		})
 		if s.Slots = s.busy; s.busy > 0 {
 			kept = append(kept, s)
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -45,6 +45,9 @@
 	retries budget
 	hedges  budget
 	runs    runTimes
+	// debts are the own loans to other entries by identifier.
+	debts    map[uint64]*debt
+	lastLoan uint64
 	// returning is true while a return of borrowed slots is due.
 	returning atomic.Bool
 }
@@ -56,6 +59,7 @@
 		queue:      queuer.New[*Task](),
 		targets:    make(map[string]*slots),
 		open:       make(map[string]int),
+		debts:      make(map[uint64]*debt),
 	}
 }
 
@@ -135,7 +139,7 @@
 func (p *Pool) admit(tasks []*Task) error {
 	first := tasks[0]
 	capacity := p.capacity()
-	if capacity == 0 && p.elsewhere() {
+	if capacity == 0 && (p.growing() || p.elsewhere()) {
 		capacity = 1
 	}
 	if capacity == 0 {
@@ -166,6 +170,17 @@
 	return n
 }
 
+// growing reports whether upstreams are live on which this entry has no slot
+// yet; the caller holds the lock.
+func (p *Pool) growing() bool {
+	for _, s := range p.order {
+		if !s.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // elsewhere reports whether slots may be borrowed from other entries.
 func (p *Pool) elsewhere() bool { return p.Idle != nil && p.Idle(p.name) > 0 }
 
--- a/lib/tracker/job.go
+++ b/lib/tracker/job.go
@@ -230,6 +230,13 @@
 	return j.answer != nil
 }
 
+// runsHere reports whether this entry still runs the job.
+func (j *Job) runsHere() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.answer == nil && j.runner == ""
+}
+
 // expired reports whether the record may be forgotten.
 func (j *Job) expired(now time.Time) bool {
 	j.mu.Lock()
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -284,7 +284,7 @@
 	for _, sh := range t.list() {
 		sh.mu.Lock()
 		for _, j := range sh.jobs {
-			if !j.over() && j.runner == "" {
+			if j.runsHere() {
 				n++
 			}
 		}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -317,24 +317,34 @@
 	}
 }
 
+// startsAt lists the tasks that one upstream recorded as started.
+func (f *fleet) startsAt(upstream int) []string {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.upstreams[upstream] + "/admin/starts")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var list []struct {
+		Task string `json:"task"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		f.t.Fatal(err)
+	}
+	var out []string
+	for _, s := range list {
+		out = append(out, s.Task)
+	}
+	return out
+}
+
 // starts counts the recorded starts of each task over all upstreams.
 func (f *fleet) starts() map[string]int {
 	f.t.Helper()
 	out := map[string]int{}
-	for _, a := range f.upstreams {
-		resp, err := http.Get("http://" + a + "/admin/starts")
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		var list []struct {
-			Task string `json:"task"`
-		}
-		if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-			f.t.Fatal(err)
-		}
-		resp.Body.Close()
-		for _, s := range list {
-			out[s.Task]++
+	for u := range f.upstreams {
+		for _, task := range f.startsAt(u) {
+			out[task]++
 		}
 	}
 	return out
