--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -42,8 +42,11 @@
 	ResultReturn  = "returned"
 )
 
-// Members lists the entries.
-type Members interface{ Members() []registrar.Member }
+// Members lists the entries and takes hints of their load.
+type Members interface {
+	Members() []registrar.Member
+	Hint(name string, load *wire.ServiceLoad)
+}
 
 // Caller sends requests to other entries.
 type Caller interface {
@@ -82,9 +85,10 @@
 // ask names a peer for one service.
 type ask struct{ service, peer string }
 
-// Ask borrows slots for a service whose tasks wait. Only one round for each
-// service runs at a time.
-func (b *Borrower) Ask(service string, need int) {
+// Ask borrows slots for a service whose tasks wait. With below only slots with
+// a shorter expected run time, in seconds, help. Only one round for each service
+// runs at a time.
+func (b *Borrower) Ask(service string, need int, below float64) {
 	b.mu.Lock()
 	if b.asking == nil {
 		b.asking = make(map[string]bool)
@@ -94,18 +98,18 @@
 		b.mu.Unlock()
 		return
 	}
-	peers := b.peers(service)
+	peers := b.peers(service, below)
 	b.asking[service] = len(peers) > 0
 	b.mu.Unlock()
 	if len(peers) > 0 {
-		go b.round(service, need, peers)
+		go b.round(service, need, below, peers)
 	}
 }
 
 // peers picks whom to ask: the peer with the most idle slots by its last hint
 // and, where hints are silent, the own failure domain first. The caller holds
 // the lock.
-func (b *Borrower) peers(service string) []registrar.Member {
+func (b *Borrower) peers(service string, below float64) []registrar.Member {
 	now := time.Now()
 	var out []registrar.Member
 	best := -1
@@ -113,8 +117,8 @@
 		if m.GetName() == b.Self.GetName() || !m.Reachable(now) || now.Before(b.quietUntil[ask{service, m.GetName()}]) {
 			continue
 		}
-		n, told := idle(m, service)
-		if n == 0 && told {
+		n, seconds, told := idle(m, service)
+		if told && (n == 0 || below > 0 && seconds >= below) {
 			continue
 		}
 		score := 2*n + rand.IntN(2)
@@ -131,14 +135,15 @@
 	return out[:min(len(out), peersAsked)]
 }
 
-// idle returns a member's idle slots by its last hint, if it gave one.
-func idle(m registrar.Member, service string) (n int, told bool) {
+// idle returns a member's idle slots and the expected run time on the fastest
+// of them by its last hint, if it gave one.
+func idle(m registrar.Member, service string) (n int, seconds float64, told bool) {
 	for _, l := range m.Loads {
 		if l.GetService() == service {
-			return int(l.GetIdleSlots()), true
+			return int(l.GetIdleSlots()), l.GetIdleSeconds(), true
 		}
 	}
-	return 0, false
+	return 0, 0, false
 }
 
 // Idle returns the slots of a service that other entries could lend.
@@ -147,7 +152,7 @@
 	now := time.Now()
 	for _, m := range b.Members.Members() {
 		if m.GetName() != b.Self.GetName() && m.Reachable(now) {
-			k, _ := idle(m, service)
+			k, _, _ := idle(m, service)
 			n += k
 		}
 	}
@@ -155,12 +160,12 @@
 }
 
 // round asks peers until the need is met.
-func (b *Borrower) round(service string, need int, peers []registrar.Member) {
+func (b *Borrower) round(service string, need int, below float64, peers []registrar.Member) {
 	for _, m := range peers {
 		if need <= 0 {
 			break
 		}
-		need -= b.askPeer(service, need, m)
+		need -= b.askPeer(service, need, below, m)
 	}
 	b.mu.Lock()
 	b.asking[service] = false
@@ -168,11 +173,12 @@
 }
 
 // askPeer asks one peer and returns the number of slots that it lent.
-func (b *Borrower) askPeer(service string, need int, m registrar.Member) int {
+func (b *Borrower) askPeer(service string, need int, below float64, m registrar.Member) int {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	q := &wire.Envelope{Body: &wire.Envelope_Borrow{Borrow: &wire.Borrow{Service: service, Slots: uint32(need)}}}
+	q := &wire.Envelope{Body: &wire.Envelope_Borrow{Borrow: &wire.Borrow{Service: service, Slots: uint32(need), BelowSeconds: below}}}
 	r, err := b.Caller.Call(ctx, m.Peer(), q)
+	b.Members.Hint(m.GetName(), r.GetLoad())
 	n := 0
 	for _, l := range r.GetGrant().GetLoans() {
 		n += int(l.GetSlots())
@@ -209,5 +215,7 @@
 	defer cancel()
 	b.Recorder.Borrow(service, ResultReturn)
 	q := &wire.Envelope{Body: &wire.Envelope_ReturnSlots{ReturnSlots: &wire.Return{Service: service, Loans: loans}}}
-	_, _ = b.Caller.Call(ctx, m.Peer(), q)
+	if r, err := b.Caller.Call(ctx, m.Peer(), q); err == nil {
+		b.Members.Hint(m.GetName(), r.GetLoad())
+	}
 }
--- a/lib/dispatcher/dispatcher.go
+++ b/lib/dispatcher/dispatcher.go
@@ -106,8 +106,9 @@
 	Client Runner
 	// Recorder counts and observes.
 	Recorder Recorder
-	// Hungry is called when tasks of a service wait while no slot is free.
-	Hungry func(service string, need int)
+	// Hungry is called when tasks of a service wait. Slots help whose expected
+	// run time, in seconds, is below the given one; 0 for any.
+	Hungry func(service string, need int, below float64)
 	// Idle returns the slots of a service that other entries could lend.
 	Idle func(service string) int
 	// GiveBack returns slots to the entry that lent them.
@@ -180,7 +181,9 @@
 // Load is the state of one pool for heartbeats and the status page.
 type Load struct {
 	Waiting, Running, Idle int
-	Upstreams              []UpstreamLoad
+	// IdleSeconds is the expected run time on the fastest idle slot.
+	IdleSeconds float64
+	Upstreams   []UpstreamLoad
 }
 
 // UpstreamLoad is the state of one upstream in a pool.
@@ -201,8 +204,23 @@
 		u := UpstreamLoad{Target: s.Target, Busy: s.busy, RunSeconds: s.seconds, Ejected: now.Before(s.ejectedUntil)}
 		if s.loan == nil && s.free(now) {
 			l.Idle += s.Slots - s.busy - s.lent
+			if l.IdleSeconds == 0 || s.Estimate() < l.IdleSeconds {
+				l.IdleSeconds = s.Estimate()
+			}
 		}
 		l.Upstreams = append(l.Upstreams, u)
 	}
 	return l
 }
+
+// Hint is the load in the form that other entries are told.
+func (p *Pool) Hint() *wire.ServiceLoad {
+	l := p.Load()
+	h := &wire.ServiceLoad{
+		Service: p.name, Waiting: uint32(l.Waiting), IdleSlots: uint32(l.Idle), IdleSeconds: l.IdleSeconds,
+	}
+	if l.Waiting > 0 {
+		h.IdleSlots = 0
+	}
+	return h
+}
--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -400,8 +400,8 @@
 		lender, borrower := newSetting(false, "a", 4), newSetting(false, "", 0)
 		borrower.play("a", script{run: 300 * time.Millisecond})
 		lender.play("a", script{run: 300 * time.Millisecond})
-		borrower.Hungry = func(_ string, need int) {
-			if loans := lender.Pool("s").Lend(need); len(loans) > 0 {
+		borrower.Hungry = func(_ string, need int, below float64) {
+			if loans := lender.Pool("s").Lend(need, below); len(loans) > 0 {
 				go borrower.Pool("s").Adopt("lender", loans)
 			}
 		}
--- a/lib/dispatcher/loans.go
+++ b/lib/dispatcher/loans.go
@@ -32,9 +32,10 @@
 }
 
 // Lend gives idle slots to another entry, the fastest first, while no task
-// waits here. The loans end by Reclaim, or by themselves long after the
+// waits here. With below it gives only slots with a shorter expected run time,
+// in seconds. The loans end by Reclaim, or by themselves long after the
 // borrower stopped using them.
-func (p *Pool) Lend(want int) []*wire.SlotLoan {
+func (p *Pool) Lend(want int, below float64) []*wire.SlotLoan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.queue.Len() > 0 {
@@ -44,7 +45,7 @@
 	var out []*wire.SlotLoan
 	for want > 0 {
 		s := p.idlest()
-		if s == nil {
+		if s == nil || below > 0 && s.Estimate() >= below {
 			break
 		}
 		n := min(want, s.Slots-s.busy-s.lent)
@@ -168,12 +169,18 @@
 	}
 }
 
-// need is the number of tasks that wait while no slot is free.
-func (p *Pool) need() int {
+// need is the number of tasks that wait. While slots are free that are not
+// worth taking, only slots with a run time below theirs help.
+func (p *Pool) need() (n int, below float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.freeSlots()) > 0 {
-		return 0
+	if p.queue.Len() == 0 {
+		return 0, 0
 	}
-	return p.queue.Len()
+	for _, s := range p.freeSlots() {
+		if e := s.Estimate(); below == 0 || e < below {
+			below = e
+		}
+	}
+	return p.queue.Len(), below
 }
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -33,13 +33,18 @@
 	targets map[string]*slots
 	order   []*slots
 	policy  Policy[*slots]
+	// patient is true when tasks may wait for a faster slot.
+	patient bool
 	free    []*slots
 	// mean is the moving average of the run time of all tasks, in seconds.
 	mean float64
 	// learned counts the runs that the mean is made of.
-	learned int
-	running int
-	open    map[string]int
+	learned  int
+	running  int
+	open     map[string]int
+	patience patience
+	// looking is true while lookAgain is due.
+	looking bool
 	// failing is the moving average of failed starts, from 0 to 1.
 	failing float64
 	retries budget
@@ -69,6 +74,7 @@
 	defer p.mu.Unlock()
 	if p.policy == nil || p.cfg.Load().GetPolicy() != s.GetPolicy() {
 		p.policy = newPolicy(s.GetPolicy())
+		p.patient = s.GetPolicy() == PolicyFastest
 	}
 	if p.mean == 0 {
 		p.mean = float64(s.GetTypicalRunMs()) / 1000
@@ -218,8 +224,8 @@
 		}
 		go p.run(t, s, startKind(t))
 	}
-	if n := p.need(); n > 0 && p.Hungry != nil {
-		p.Hungry(p.name, n)
+	if n, below := p.need(); n > 0 && p.Hungry != nil {
+		p.Hungry(p.name, n, below)
 	}
 }
 
@@ -237,11 +243,17 @@
 		if len(free) == 0 {
 			return nil, nil
 		}
-		t, _ := p.queue.Pop()
+		t, _ := p.queue.Peek()
 		if t.settled() {
+			p.queue.Pop()
 			continue
 		}
 		s := p.policy.Pick(p.untried(t, free))
+		if p.holds(t, s) {
+			return nil, nil
+		}
+		p.queue.Pop()
+		p.patience.observe(p.order)
 		s.busy++
 		p.running++
 		return t, s
@@ -249,6 +261,31 @@
 	return nil, nil
 }
 
+// holds reports whether t should wait for a faster slot than s, and makes sure
+// that it does not wait for ever; the caller holds the lock.
+func (p *Pool) holds(t *Task, s *slots) bool {
+	if !p.patient {
+		return false
+	}
+	worth, left := p.patience.worth(s, p.order, p.queue.Len(), t.queued, time.Now())
+	if worth {
+		return false
+	}
+	if !p.looking {
+		p.looking = true
+		time.AfterFunc(left, p.lookAgain)
+	}
+	return true
+}
+
+// lookAgain dispatches after a task has waited in vain for a faster slot.
+func (p *Pool) lookAgain() {
+	p.mu.Lock()
+	p.looking = false
+	p.mu.Unlock()
+	p.dispatch()
+}
+
 // freeSlots lists upstreams with a free slot; the caller holds the lock.
 func (p *Pool) freeSlots() []*slots {
 	now := time.Now()
--- a/lib/dispatcher/slots.go
+++ b/lib/dispatcher/slots.go
@@ -67,6 +67,14 @@
 	return s.failures < failureLimit || s.busy == 0
 }
 
+// rate returns the tasks per second that the upstream's slots can run.
+func (s *slots) rate() float64 {
+	if e := s.Estimate(); e > 0 {
+		return float64(s.Slots-s.lent) / e
+	}
+	return 0
+}
+
 // succeed learns the run time of a successful task.
 func (s *slots) succeed(d time.Duration) {
 	s.failures = 0
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -47,9 +47,10 @@
 	Issue(number uint64) (string, bool)
 }
 
-// Members finds an entry by name.
+// Members finds an entry by name and takes hints of its load.
 type Members interface {
 	Member(name string) (registrar.Member, bool)
+	Hint(name string, load *wire.ServiceLoad)
 }
 
 // Caller sends requests to other entries.
--- a/lib/forwarder/forwarder_test.go
+++ b/lib/forwarder/forwarder_test.go
@@ -51,6 +51,8 @@
 	return registrar.Member{Registration: &wire.Registration{Name: "home", Incarnation: "i"}}, true
 }
 
+func (*fake) Hint(string, *wire.ServiceLoad) {}
+
 func (f *fake) Call(_ context.Context, _ entry.Peer, q *wire.Envelope) (*wire.Reply, error) {
 	r := f.now()
 	f.sent = append(f.sent, q.GetForward())
--- a/lib/forwarder/trip.go
+++ b/lib/forwarder/trip.go
@@ -79,6 +79,7 @@
 		DeliveredEpoch: t.reached, Wait: t.request.Wait,
 	}}}
 	reply, err := t.Caller.Call(ctx, m.Peer(), q)
+	t.Members.Hint(m.GetName(), reply.GetLoad())
 	return t.read(ctx, owner.GetEpoch(), reply, err)
 }
 
--- a/lib/queuer/queuer.go
+++ b/lib/queuer/queuer.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// Peek returns the item whose turn it is.
+func (q *Queue[T]) Peek() (v T, ok bool) {
+	if len(q.active) == 0 {
+		return v, false
+	}
+	return q.active[0].items[0].value, true
+}
+
 // Pop removes the item whose turn it is.
 func (q *Queue[T]) Pop() (v T, ok bool) {
 	if len(q.active) == 0 {
--- a/lib/registrar/registrar.go
+++ b/lib/registrar/registrar.go
@@ -233,6 +233,27 @@
 	r.members[h.GetName()] = m
 }
 
+// Hint takes the load of one service that came with a reply of a peer.
+func (r *Registrar) Hint(name string, load *wire.ServiceLoad) {
+	if load == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[name]
+	if !ok {
+		return
+	}
+	loads := []*wire.ServiceLoad{load}
+	for _, l := range m.Loads {
+		if l.GetService() != load.GetService() {
+			loads = append(loads, l)
+		}
+	}
+	m.Loads = loads
+	r.members[name] = m
+}
+
 // Learn takes registrations that a peer knows and the platform has not told.
 func (r *Registrar) Learn(list []*wire.Registration) {
 	r.mu.Lock()
--- a/lib/responder/responder.go
+++ b/lib/responder/responder.go
@@ -87,10 +87,16 @@
 	if err != nil {
 		return &wire.Reply{Found: true, Answer: tracker.Refusal(f.GetRequest().GetJobId(), err)}
 	}
-	if !f.GetWait() {
-		return &wire.Reply{Found: true, Answer: j.Answer()}
+	reply := &wire.Reply{Found: true}
+	if f.GetWait() {
+		reply.Answer = j.Wait(ctx)
+	} else {
+		reply.Answer = j.Answer()
 	}
-	return &wire.Reply{Found: true, Answer: j.Wait(ctx)}
+	if p := r.Dispatcher.Pool(s.GetService()); p != nil {
+		reply.Load = p.Hint()
+	}
+	return reply
 }
 
 // weight returns a tenant's weight in a service.
@@ -159,13 +165,16 @@
 	if p == nil {
 		return refuse("the service is not known")
 	}
-	return &wire.Reply{Grant: &wire.Grant{Loans: p.Lend(int(b.GetSlots()))}}
+	loans := p.Lend(int(b.GetSlots()), b.GetBelowSeconds())
+	return &wire.Reply{Grant: &wire.Grant{Loans: loans}, Load: p.Hint()}
 }
 
 // reclaim takes lent slots back.
 func (r *Responder) reclaim(b *wire.Return) *wire.Reply {
-	if p := r.Dispatcher.Pool(b.GetService()); p != nil {
-		p.Reclaim(b.GetLoans())
+	p := r.Dispatcher.Pool(b.GetService())
+	if p == nil {
+		return refuse("the service is not known")
 	}
-	return &wire.Reply{}
+	p.Reclaim(b.GetLoans())
+	return &wire.Reply{Load: p.Hint()}
 }
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -187,6 +187,7 @@
 			}
 			wholeAnswer(t, j, a)
 		}
+		f.coldStart("entry-2", "entry-1")
 		if err := f.admin(f.platform, "faults", map[string]any{}); err != nil {
 			t.Fatal(err)
 		}
@@ -224,6 +225,25 @@
 	})
 }
 
+// coldStart kills an entry and starts it again while the platform is away. It
+// must learn from its seed enough to serve jobs whose home lives.
+func (f *fleet) coldStart(name, seed string) {
+	f.t.Helper()
+	f.signal(name, syscall.SIGKILL)
+	f.seed(name, seed)
+	f.restart(name)
+	f.await("the cold entry to be ready", func() bool { return ready(f.callers[name]) })
+	j := job(f.issue(seed, "claims"), "claims", 3, time.Millisecond)
+	a, err := f.submit(name, j, 1)
+	if err != nil || a.GetState() != wire.JobState_complete {
+		f.t.Errorf("forwarded by the cold entry: %v %v", a, err)
+	}
+	a, err = f.submit(name, job("cold-status", "status", 3, time.Millisecond), 1)
+	if err != nil || a.GetState() != wire.JobState_complete {
+		f.t.Errorf("repeatable at the cold entry: %v %v", a, err)
+	}
+}
+
 // TestRollingRestart restarts every entry in turn under load.
 func TestRollingRestart(t *testing.T) {
 	f := newFleet(t, 2, "north", "south")
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -32,7 +32,7 @@
 		panic(err)
 	}
 	programs = dir
-	for _, p := range []string{"radishweir", "radishweirctl", "standin"} {
+	for _, p := range []string{"radishweir", "radishweirctl", "standin", "load"} {
 		out, err := exec.Command("go", "build", "-race", "-o", filepath.Join(dir, p), "../"+p).CombinedOutput()
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "build %s: %s\n", p, out)
@@ -81,6 +81,7 @@
 	upstreams []string
 	callers   map[string]string
 	operators map[string]string
+	peers     map[string]string
 	vms       []map[string]any
 }
 
@@ -135,7 +136,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, dir: t.TempDir(), platform: freeAddress(t), domains: domains,
-		entries: map[string]*process{}, callers: map[string]string{}, operators: map[string]string{},
+		entries: map[string]*process{}, callers: map[string]string{}, operators: map[string]string{}, peers: map[string]string{},
 	}
 	f.start("standin", "platform", "--address", f.platform)
 	var names []string
@@ -235,7 +236,7 @@
 
 // settings writes the settings of an entry and adds its VM to the list.
 func (f *fleet) settings(name, domain string) {
-	f.callers[name], f.operators[name] = freeAddress(f.t), freeAddress(f.t)
+	f.callers[name], f.operators[name], f.peers[name] = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
 	text := fmt.Sprintf(`name = %q
 failure_domain = %q
 caller_address = %q
@@ -247,13 +248,26 @@
 authority_file = "%[7]s/keys/authority.pem"
 balancer_wait = "300ms"
 drain_limit = "20s"
-`, name, domain, f.callers[name], freeAddress(f.t), f.operators[name], f.platform, f.dir)
+`, name, domain, f.callers[name], f.peers[name], f.operators[name], f.platform, f.dir)
 	if err := os.WriteFile(f.settingsFile(name), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	f.vms = append(f.vms, map[string]any{"name": name, "instance": "1", "role": "entry", "failure_domain": domain})
 }
 
+// seed adds a seed to the settings of an entry.
+func (f *fleet) seed(name, seed string) {
+	f.t.Helper()
+	data, err := os.ReadFile(f.settingsFile(name))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	line := fmt.Sprintf("seeds = [%q]\n", seed+"="+f.peers[seed])
+	if err := os.WriteFile(f.settingsFile(name), append(data, line...), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // questionnaire applies a questionnaire for a service.
 func (f *fleet) questionnaire(service string, never bool) {
 	f.t.Helper()
--- a/proof/placer_test.go
+++ b/proof/placer_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"radishweir.org/lib/entry"
@@ -150,7 +152,7 @@
 	*members
 	t     *testing.T
 	plat  *platformer.Platform
-	store *platform.Etcd
+	store platform.Store
 }
 
 func newDomain(t *testing.T) *domain {
@@ -301,3 +303,41 @@
 	d.settle("a", "b", "c")
 	d.once()
 }
+
+// lateStore loses the first change of a table that gives shards to "b". The
+// change reaches the platform only when late is called.
+type lateStore struct {
+	platform.Store
+	mu   sync.Mutex
+	held []platform.Write
+}
+
+func (l *lateStore) Swap(ctx context.Context, writes ...platform.Write) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held == nil && strings.Contains(string(writes[0].Value), `"b-1"`) {
+		l.held = writes
+		return 0, platform.ErrUnknown
+	}
+	return l.Store.Swap(ctx, writes...)
+}
+
+// TestLateWrite shows that a handover's write whose answer was lost cannot take
+// effect after the old home has gone on.
+func TestLateWrite(t *testing.T) {
+	d := newDomain(t)
+	late := &lateStore{Store: d.store}
+	d.store = late
+	a, stop := d.join("a")
+	d.settle("a")
+	stop()
+	time.Sleep(time.Second)
+	d.add("b")
+	a.Step(context.Background())
+	if n := d.served("a"); late.held == nil || n != placer.ShardsPerDomain {
+		t.Fatalf("held %v, a serves %d", late.held != nil, n)
+	}
+	if _, err := late.Store.Swap(context.Background(), late.held...); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("the late write took effect while a served every shard: %v", err)
+	}
+}
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -233,11 +233,8 @@
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Draining: e.draining.Load(),
 		Revisions: e.configurer.Revisions(), Tables: e.placer.Versions(),
 	}
-	for name, p := range e.dispatcher.Pools() {
-		l := p.Load()
-		h.Loads = append(h.Loads, &wire.ServiceLoad{
-			Service: name, Waiting: uint32(l.Waiting), IdleSlots: uint32(l.Idle),
-		})
+	for _, p := range e.dispatcher.Pools() {
+		h.Loads = append(h.Loads, p.Hint())
 	}
 	return h
 }
