Weigh waiting and borrowing by what costs more

Cause: the users' two measures pull apart. Tasks took slow slots while faster ones were about to be free, and each wide job borrowed slots by two messages.

The jobs over three times the replay are tasks of a few milliseconds that waited for ten, single tasks on upstreams of speed 1, and wide jobs with a tail there.

Change: a task may wait for a faster slot while the faster ones would serve the queue sooner; the allowance shrinks with the load. Idle slots of peers count in. The answer costs_more chooses: late_answer waits and borrows at once; wasted_message takes the fastest free slot and borrows only for tasks that have waited a typical run. fastest_free, random and round_robin stay selectable.

--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -30,6 +30,8 @@
 	refusalMemory = 100 * time.Millisecond
 	// returnTimeout bounds the return of slots.
 	returnTimeout = 2 * time.Second
+	// hintLife is how long a copy of the hints is used.
+	hintLife = 5 * time.Millisecond
 	// peersAsked bounds the peers asked in one round.
 	peersAsked = 2
 )
@@ -80,6 +82,9 @@
 	asking map[string]bool
 	// quietUntil holds, by service and peer, when a peer may be asked again.
 	quietUntil map[ask]time.Time
+	// fresh is a copy of the members that is used until freshUntil.
+	fresh      []registrar.Member
+	freshUntil time.Time
 }
 
 // ask names a peer for one service.
@@ -146,13 +151,21 @@
 	return 0, 0, false
 }
 
-// Idle returns the slots of a service that other entries could lend.
-func (b *Borrower) Idle(service string) int {
-	n := 0
+// Idle returns the slots of a service that other entries could lend by their
+// last hints. With below only those with a shorter expected run time count.
+func (b *Borrower) Idle(service string, below float64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
-	for _, m := range b.Members.Members() {
-		if m.GetName() != b.Self.GetName() && m.Reachable(now) {
-			k, _, _ := idle(m, service)
+	if now.After(b.freshUntil) {
+		b.fresh = b.Members.Members()
+		b.freshUntil = now.Add(hintLife)
+	}
+	n := 0
+	for _, m := range b.fresh {
+		k, seconds, _ := idle(m, service)
+		usable := below == 0 || seconds < below
+		if m.GetName() != b.Self.GetName() && m.Reachable(now) && usable && now.After(b.quietUntil[ask{service, m.GetName()}]) {
 			n += k
 		}
 	}
--- a/lib/dispatcher/dispatcher.go
+++ b/lib/dispatcher/dispatcher.go
@@ -109,8 +109,9 @@
 	// Hungry is called when tasks of a service wait. Slots help whose expected
 	// run time, in seconds, is below the given one; 0 for any.
 	Hungry func(service string, need int, below float64)
-	// Idle returns the slots of a service that other entries could lend.
-	Idle func(service string) int
+	// Idle returns the slots of a service that other entries could lend, of those
+	// whose expected run time, in seconds, is below the given one; 0 for any.
+	Idle func(service string, below float64) int
 	// GiveBack returns slots to the entry that lent them.
 	GiveBack func(lender, service string, loans []*wire.SlotLoan)
 	// Log receives events.
--- a/lib/dispatcher/loans.go
+++ b/lib/dispatcher/loans.go
@@ -13,8 +13,10 @@
 	loanLife = 2 * time.Second
 	// returnLimit is how long after that an owner waits for their return.
 	returnLimit = 10 * time.Second
-	// returnDelay gathers slots that become idle into one return.
-	returnDelay = 20 * time.Millisecond
+	// shortestReturn and longestReturn bound the time in which slots that become
+	// idle are gathered into one return; in between it is half a mean run.
+	shortestReturn = 20 * time.Millisecond
+	longestReturn  = 200 * time.Millisecond
 )
 
 // loan is the borrower's side of lent slots.
@@ -132,7 +134,10 @@
 	if p.returning.Swap(true) {
 		return
 	}
-	time.AfterFunc(returnDelay, func() {
+	p.mu.Lock()
+	delay := min(max(p.meanRun()/2, shortestReturn), longestReturn)
+	p.mu.Unlock()
+	time.AfterFunc(delay, func() {
 		p.returning.Store(false)
 		p.giveBack()
 	})
@@ -169,12 +174,19 @@
 	}
 }
 
-// need is the number of tasks that wait. While slots are free that are not
-// worth taking, only slots with a run time below theirs help.
+// need is the number of tasks that wait, once the next of them has waited long
+// enough to borrow for. While slots are free that are not worth taking, only
+// slots with a run time below theirs help.
 func (p *Pool) need() (n int, below float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.queue.Len() == 0 {
+	t, ok := p.queue.Peek()
+	if !ok {
+		return 0, 0
+	}
+	after := time.Duration(p.cfg.Load().GetBorrowAfterMs()) * time.Millisecond
+	if left := after - time.Since(t.queued); left > 0 {
+		p.lookAfter(left)
 		return 0, 0
 	}
 	for _, s := range p.freeSlots() {
--- a/lib/dispatcher/patience.go
+++ b/lib/dispatcher/patience.go
@@ -34,9 +34,10 @@
 }
 
 // worth reports whether the slot s should be taken for a task queued at the
-// given time while length tasks wait. If not, it returns how long the task can
-// be expected to wait at the most.
-func (w *patience) worth(s *slots, order []*slots, length int, queued, now time.Time) (bool, time.Duration) {
+// given time while length tasks wait. idle returns the number of faster slots
+// that could be borrowed. If the slot is not worth taking, worth returns how
+// long the task can be expected to wait at the most.
+func (w *patience) worth(s *slots, order []*slots, length int, idle func(below float64) int, queued, now time.Time) (bool, time.Duration) {
 	rate, run := 0.0, 0.0
 	for _, o := range order {
 		if o.Leaving || now.Before(o.ejectedUntil) || o.Estimate() >= s.Estimate() {
@@ -46,13 +47,17 @@
 		rate += r
 		run += r * o.Estimate()
 	}
-	if rate == 0 {
-		return true, 0
+	gain := s.Estimate()
+	if rate > 0 {
+		gain -= run / rate
 	}
-	gain := s.Estimate() - run/rate
 	left := time.Duration(gain*float64(time.Second)) - now.Sub(queued)
-	if left <= 0 || float64(length) > gain*rate*max(0, 1-w.load) {
+	if left <= 0 {
 		return true, 0
 	}
-	return false, left
+	allowed := gain * rate * max(0, 1-w.load)
+	if float64(length) <= allowed || float64(length-idle(s.Estimate())) <= allowed {
+		return false, left
+	}
+	return true, 0
 }
--- a/lib/dispatcher/policy.go
+++ b/lib/dispatcher/policy.go
@@ -51,9 +51,12 @@
 
 // Names of the policies in the configuration.
 const (
-	PolicyFastest    = "fastest"
-	PolicyRandom     = "random"
-	PolicyRoundRobin = "round_robin"
+	// PolicyFastest waits for a faster slot where that pays.
+	PolicyFastest = "fastest"
+	// PolicyFastestFree takes the fastest free slot at once.
+	PolicyFastestFree = "fastest_free"
+	PolicyRandom      = "random"
+	PolicyRoundRobin  = "round_robin"
 )
 
 // newPolicy returns the policy with the given name, Fastest if it is unknown.
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -188,7 +188,16 @@
 }
 
 // elsewhere reports whether slots may be borrowed from other entries.
-func (p *Pool) elsewhere() bool { return p.Idle != nil && p.Idle(p.name) > 0 }
+func (p *Pool) elsewhere() bool { return p.idleElsewhere(0) > 0 }
+
+// idleElsewhere returns the slots that could be borrowed whose expected run time
+// is below the given one, in seconds; 0 for any.
+func (p *Pool) idleElsewhere(below float64) int {
+	if p.Idle == nil {
+		return 0
+	}
+	return p.Idle(p.name, below)
+}
 
 // quota returns the tasks that a tenant may have open; 0 for any number.
 func (p *Pool) quota(tenant string) int {
@@ -267,18 +276,24 @@
 	if !p.patient {
 		return false
 	}
-	worth, left := p.patience.worth(s, p.order, p.queue.Len(), t.queued, time.Now())
+	worth, left := p.patience.worth(s, p.order, p.queue.Len(), p.idleElsewhere, t.queued, time.Now())
 	if worth {
 		return false
 	}
+	p.lookAfter(left)
+	return true
+}
+
+// lookAfter makes sure that a task which waits for a better slot does not wait
+// for ever; the caller holds the lock.
+func (p *Pool) lookAfter(d time.Duration) {
 	if !p.looking {
 		p.looking = true
-		time.AfterFunc(left, p.lookAgain)
+		time.AfterFunc(d, p.lookAgain)
 	}
-	return true
 }
 
-// lookAgain dispatches after a task has waited in vain for a faster slot.
+// lookAgain dispatches after a task has waited in vain for a better slot.
 func (p *Pool) lookAgain() {
 	p.mu.Lock()
 	p.looking = false
--- a/lib/dispatcher/slots.go
+++ b/lib/dispatcher/slots.go
@@ -4,7 +4,7 @@
 
 const (
 	// learnRate is the weight of the newest run time in the moving average.
-	learnRate = 0.1
+	learnRate = 0.05
 	// failureLimit is the number of failures in a row that ejects an upstream.
 	failureLimit = 5
 	// firstEjection is the length of the first ejection.
@@ -35,6 +35,8 @@
 	loan *loan
 	// seconds is the moving average of the run time of successful tasks.
 	seconds float64
+	// runs counts the run times in the average, beside the first guess.
+	runs int
 	// failures counts failures in a row.
 	failures int
 	// ejectedUntil keeps the upstream out of the choice.
@@ -80,10 +82,11 @@
 	s.failures = 0
 	s.ejection = 0
 	if s.seconds == 0 {
-		s.seconds = d.Seconds()
-		return
+		s.seconds = s.prior()
 	}
-	s.seconds += learnRate * (d.Seconds() - s.seconds)
+	s.runs++
+	rate := max(1/float64(s.runs+1), learnRate)
+	s.seconds += rate * (d.Seconds() - s.seconds)
 }
 
 // fail counts a failure and reports whether the upstream should be ejected.
--- a/lib/generator/generator.go
+++ b/lib/generator/generator.go
@@ -32,6 +32,9 @@
 	CostWastedMessage = "wasted_message"
 )
 
+// selectionByCost leaves the selection policy to the answer of costs_more.
+const selectionByCost = "by_cost"
+
 const (
 	// maxTenants bounds the tenants of one service.
 	maxTenants = 450
@@ -96,8 +99,8 @@
 		{Key: "slots_per_upstream", Value: &q.SlotsPerUpstream, Default: 8, Check: loader.Between(1, 1024)},
 		{Key: "connections_per_upstream", Value: &q.ConnectionsPerUpstream, Default: 64, Check: loader.Between(1, 4096)},
 		{
-			Key: "selection", Value: &q.Selection, Default: "fastest",
-			Check: loader.OneOf("fastest", "random", "round_robin"),
+			Key: "selection", Value: &q.Selection, Default: selectionByCost,
+			Check: loader.OneOf(selectionByCost, "fastest", "fastest_free", "random", "round_robin"),
 		},
 		{Key: "failure_domains", Value: &q.FailureDomains, Check: names},
 	}
@@ -222,11 +225,7 @@
 		FailureDomains:         q.FailureDomains,
 		Questionnaire:          q.source,
 	}
-	if q.CostsMore == CostWastedMessage {
-		c.RetryPermille = messagesRetryPermille
-	} else if !q.MustNeverRepeat {
-		c.HedgePermille = responseHedgePermille
-	}
+	q.weigh(c)
 	for _, t := range q.Tenants {
 		c.Tenants = append(c.Tenants, &wire.Tenant{
 			Name: t.Name, TokenSha256: t.TokenSHA256, Weight: uint32(max(t.Share, 1)),
@@ -236,6 +235,22 @@
 	return c, trace(c)
 }
 
+// weigh sets what depends on whether a late answer or a wasted message costs
+// more.
+func (q *Questionnaire) weigh(c *wire.ServiceConfiguration) {
+	policy := "fastest"
+	if q.CostsMore == CostWastedMessage {
+		policy = "fastest_free"
+		c.RetryPermille = messagesRetryPermille
+		c.BorrowAfterMs = c.GetTypicalRunMs()
+	} else if !q.MustNeverRepeat {
+		c.HedgePermille = responseHedgePermille
+	}
+	if q.Selection == selectionByCost {
+		c.Policy = policy
+	}
+}
+
 // trace lists the generated values with the answers that they come from.
 func trace(c *wire.ServiceConfiguration) []Line {
 	num := func(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
@@ -255,7 +270,8 @@
 		{"max_jobs", num(c.GetMaxJobs()), "remembered_jobs"},
 		{"retry_permille", num(c.GetRetryPermille()), "costs_more"},
 		{"hedge_permille", num(c.GetHedgePermille()), "costs_more, must_never_repeat"},
-		{"policy", c.GetPolicy(), "selection"},
+		{"policy", c.GetPolicy(), "selection, costs_more"},
+		{"borrow_after_ms", num(c.GetBorrowAfterMs()), "costs_more, typical_run"},
 		{"failure_domains", fmt.Sprint(c.GetFailureDomains()), "failure_domains"},
 		{"tenants", strconv.Itoa(len(c.GetTenants())), "tenants"},
 	}
--- a/load/internal/driver/driver.go
+++ b/load/internal/driver/driver.go
@@ -54,14 +54,16 @@
 	Load           float64   `toml:"load"`
 	TasksPerSecond float64   `toml:"tasks_per_second"`
 	Seconds        float64   `toml:"seconds"`
-	MeanRunMS      float64   `toml:"mean_run_ms"`
-	WideShare      float64   `toml:"wide_share"`
-	WideTasks      int       `toml:"wide_tasks"`
-	DeadlineMS     int       `toml:"deadline_ms"`
-	IssuedShare    float64   `toml:"issued_share"`
-	GreedyShare    float64   `toml:"greedy_share"`
-	BurstFactor    float64   `toml:"burst_factor"`
-	CancelShare    float64   `toml:"cancel_share"`
+	// WarmupSeconds leaves the first jobs out of the response times.
+	WarmupSeconds float64 `toml:"warmup_seconds"`
+	MeanRunMS     float64 `toml:"mean_run_ms"`
+	WideShare     float64 `toml:"wide_share"`
+	WideTasks     int     `toml:"wide_tasks"`
+	DeadlineMS    int     `toml:"deadline_ms"`
+	IssuedShare   float64 `toml:"issued_share"`
+	GreedyShare   float64 `toml:"greedy_share"`
+	BurstFactor   float64 `toml:"burst_factor"`
+	CancelShare   float64 `toml:"cancel_share"`
 }
 
 // Job is one job of the trace.
--- a/load/internal/reporter/reporter.go
+++ b/load/internal/reporter/reporter.go
@@ -119,7 +119,7 @@
 	replay := scheduler.Replay(slots, trace)
 	var response, overhead, idle, over distribution
 	for i, res := range results {
-		if res.Canceled || res.Answer.GetState() != wire.JobState_complete {
+		if jobs[i].At.Seconds() < s.WarmupSeconds || res.Canceled || res.Answer.GetState() != wire.JobState_complete {
 			continue
 		}
 		alone := scheduler.Alone(slots, trace[i])
