Ask operators how far clocks differ; bound what is kept of unknown jobs

Reading the code as a newcomer showed four more faults: answers about unknown jobs were remembered without limit; an identifier of another service was answered may_have_run; an upstream that the VM list no longer called leaving stayed out until it was replaced; and tokens were compared with those of all 450 tenants in turn.

Change: the questionnaire asks clocks_agree_within (2 s by default). Unknown jobs are remembered within the limit, the other-service case says not_run, the list's word can be taken back while the upstream's own cannot, and tokens are found by an index.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -21,7 +21,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"net"
 	"net/http"
@@ -89,6 +88,7 @@
 	// Log receives events.
 	Log zerolog.Logger
 
+	tenants  directory
 	listener net.Listener
 	server   *http.Server
 }
@@ -175,14 +175,11 @@
 		return session{}, refuse(http.StatusUnauthorized, "a bearer token is required")
 	}
 	sum := sha256.Sum256([]byte(token))
-	hash := []byte(hex.EncodeToString(sum[:]))
-	for _, t := range c.service.GetTenants() {
-		if subtle.ConstantTimeCompare(hash, []byte(t.GetTokenSha256())) == 1 {
-			c.tenant = t
-			return c, nil
-		}
+	c.tenant = s.tenants.find(c.service, hex.EncodeToString(sum[:]))
+	if c.tenant == nil {
+		return session{}, refuse(http.StatusUnauthorized, "the bearer token is not known")
 	}
-	return session{}, refuse(http.StatusUnauthorized, "the bearer token is not known")
+	return c, nil
 }
 
 // submit takes a job.
--- a/lib/caller/codec.go
+++ b/lib/caller/codec.go
@@ -16,9 +16,6 @@
 	"radishweir.org/lib/wire"
 )
 
-// clockMargin covers the difference between the clocks of a caller and a VM.
-const clockMargin = 5 * time.Second
-
 // Content types of bodies.
 const (
 	contentJSON     = "application/json"
@@ -117,7 +114,7 @@
 
 // tooFar reports a deadline that is further ahead than the service allows.
 func tooFar(j *wire.JobRequest, s *wire.ServiceConfiguration) bool {
-	span := time.Duration(s.GetDefaultDeadlineMs())*time.Millisecond + clockMargin
+	span := time.Duration(s.GetDefaultDeadlineMs()+s.GetClockMarginMs()) * time.Millisecond
 	return j.GetDeadline() != nil && !s.GetRepeatable() && time.Until(j.GetDeadline().AsTime()) > span
 }
 
--- a/lib/dispatcher/decision.go
+++ b/lib/dispatcher/decision.go
@@ -131,7 +131,7 @@
 	s.busy--
 	p.running--
 	if res.Leaving && !s.Leaving {
-		s.Leaving = true
+		s.Leaving, s.saidLeaving = true, true
 		p.Log.Info().Str("service", p.name).Str("upstream", s.Name).Msg("upstream_leaving")
 	}
 	switch {
--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -281,6 +281,21 @@
 		if s.started("a") != 1 || s.started("b") != 4 {
 			t.Errorf("starts %d and %d", s.started("a"), s.started("b"))
 		}
+		// The list's word can be taken back, the upstream's own cannot.
+		listed := func(leaving bool) {
+			s.Assign("s", []Target{
+				{Name: "a", Address: "a", Slots: 1},
+				{Name: "b", Address: "b", Slots: 1, Leaving: leaving},
+			})
+			_, _ = s.submit(1)
+			time.Sleep(time.Second)
+		}
+		if listed(true); s.started("b") != 4 {
+			t.Error("a start on an upstream that is listed as leaving")
+		}
+		if listed(false); s.started("a") != 1 || s.started("b") != 5 {
+			t.Errorf("after the list took it back: starts %d and %d", s.started("a"), s.started("b"))
+		}
 	})
 }
 
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -97,7 +97,7 @@
 			p.targets[t.Name] = s
 			p.order = append(p.order, s)
 		}
-		s.Slots, s.Leaving = t.Slots, t.Leaving || s.Leaving
+		s.Slots, s.Leaving = t.Slots, t.Leaving || s.saidLeaving
 	}
 	for n, s := range p.targets {
 		if !seen[n] {
--- a/lib/dispatcher/slots.go
+++ b/lib/dispatcher/slots.go
@@ -43,6 +43,8 @@
 	ejectedUntil time.Time
 	// ejection is the length of the last ejection.
 	ejection time.Duration
+	// saidLeaving is true once the upstream itself said that it is leaving.
+	saidLeaving bool
 	// removed is true once the VM list or a new instance replaced it.
 	removed bool
 	// prior returns the estimate of an upstream that has not answered yet.
--- a/lib/generator/generator.go
+++ b/lib/generator/generator.go
@@ -55,6 +55,7 @@
 	LongestRun             string   `toml:"longest_run"`
 	AnswerWithin           string   `toml:"answer_within"`
 	ResubmittedWithin      string   `toml:"resubmitted_within"`
+	ClocksAgreeWithin      string   `toml:"clocks_agree_within"`
 	LargestJob             int      `toml:"largest_job"`
 	LargestInputKB         int      `toml:"largest_input_kb"`
 	CostsMore              string   `toml:"costs_more"`
@@ -88,6 +89,7 @@
 		{Key: "longest_run", Value: &q.LongestRun, Check: loader.Span(time.Millisecond, time.Hour)},
 		{Key: "answer_within", Value: &q.AnswerWithin, Check: loader.Span(10*time.Millisecond, time.Hour)},
 		{Key: "resubmitted_within", Value: &q.ResubmittedWithin, Default: "1h", Check: loader.Span(time.Second, 7*24*time.Hour)},
+		{Key: "clocks_agree_within", Value: &q.ClocksAgreeWithin, Default: "2s", Check: loader.Span(100*time.Millisecond, time.Hour)},
 		{Key: "largest_job", Value: &q.LargestJob, Default: 390, Check: loader.Between(1, 390)},
 		{Key: "largest_input_kb", Value: &q.LargestInputKB, Default: 64, Check: loader.Between(1, 4096)},
 		{
@@ -217,6 +219,7 @@
 		LongestRunMs:           milliseconds(q.LongestRun),
 		DefaultDeadlineMs:      milliseconds(q.AnswerWithin),
 		ResubmissionWindowMs:   milliseconds(q.ResubmittedWithin),
+		ClockMarginMs:          milliseconds(q.ClocksAgreeWithin),
 		MaxTasks:               uint32(q.LargestJob),
 		MaxInputBytes:          uint32(q.LargestInputKB) << 10,
 		RetryPermille:          responseRetryPermille,
@@ -265,6 +268,7 @@
 		{"longest_run_ms", num(c.GetLongestRunMs()), "longest_run"},
 		{"default_deadline_ms", num(c.GetDefaultDeadlineMs()), "answer_within"},
 		{"resubmission_window_ms", num(c.GetResubmissionWindowMs()), "resubmitted_within"},
+		{"clock_margin_ms", num(c.GetClockMarginMs()), "clocks_agree_within"},
 		{"max_tasks", num(c.GetMaxTasks()), "largest_job"},
 		{"max_input_bytes", num(c.GetMaxInputBytes()), "largest_input_kb"},
 		{"max_jobs", num(c.GetMaxJobs()), "remembered_jobs"},
--- a/lib/tracker/shard.go
+++ b/lib/tracker/shard.go
@@ -77,8 +77,8 @@
 	if now.After(known.Add(window + clockMargin)) {
 		return true
 	}
-	span := time.Duration(sub.Service.GetDefaultDeadlineMs()) * time.Millisecond
-	sentSince := sub.Request.GetDeadline().AsTime().After(known.Add(span + sendMargin))
+	span := time.Duration(sub.Service.GetDefaultDeadlineMs()+sub.Service.GetClockMarginMs()) * time.Millisecond
+	sentSince := sub.Request.GetDeadline().AsTime().After(known.Add(span))
 	return sub.Request.GetAttempt() == 1 && !elsewhere && sentSince
 }
 
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -32,8 +32,6 @@
 const (
 	// clockMargin covers the difference between the clocks of two VMs.
 	clockMargin = time.Minute
-	// sendMargin covers the difference between the clocks of a caller and a VM.
-	sendMargin = 10 * time.Second
 	// pauseLimit is how long a submission waits for a handover to end.
 	pauseLimit = 2 * time.Second
 	// sweepInterval is the time between searches for expired records.
@@ -44,8 +42,9 @@
 // done for the job.
 var ErrNotHome = errors.New("this entry is not the home of the job")
 
-// ErrOtherService reports an identifier that names a job of another service.
-var ErrOtherService = errors.New("the job identifier belongs to another service")
+// ErrOtherService reports an identifier that names a job of another service. It
+// never ran in the service that was asked for.
+var ErrOtherService = classifier.New(classifier.NotRun, "the job identifier belongs to another service")
 
 // Runner starts tasks; a dispatcher.Dispatcher is one.
 type Runner interface {
@@ -142,8 +141,10 @@
 	}
 	if old == nil && !sub.Service.GetRepeatable() && !sh.certain(sub, time.Now()) {
 		j := t.unknownJob(k, sub)
-		sh.jobs[k] = j
-		t.counts.add(j.service, 1)
+		if t.room(sh, sub.Service) {
+			sh.jobs[k] = j
+			t.counts.add(j.service, 1)
+		}
 		return j, false, nil
 	}
 	if old == nil && !t.room(sh, sub.Service) {
--- a/lib/tracker/tracker_test.go
+++ b/lib/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,7 +69,7 @@
 
 // claims is a service whose requests must not repeat.
 func claims() *wire.ServiceConfiguration {
-	return &wire.ServiceConfiguration{Service: "claims", ResubmissionWindowMs: 3_600_000, DefaultDeadlineMs: 20_000}
+	return &wire.ServiceConfiguration{Service: "claims", ResubmissionWindowMs: 3_600_000, DefaultDeadlineMs: 20_000, ClockMarginMs: 10_000}
 }
 
 func submission(id string, attempt uint32) Submission {
@@ -201,6 +202,31 @@
 	}
 }
 
+// TestUnknownJobsAreBounded shows that answers about unknown jobs fill no memory
+// beyond the limit, and that an identifier of another service did not run.
+func TestUnknownJobsAreBounded(t *testing.T) {
+	tr := newTracker(newRunner())
+	o := owner(2, "")
+	o.TakenAt = timestamppb.Now()
+	tr.Open(shardA, o)
+	for i := range 20 {
+		sub := submission(fmt.Sprint("x", i), 2)
+		sub.Service.MaxJobs = 5
+		j, err := tr.Submit(context.Background(), shardA, sub)
+		if err != nil || j.Answer().GetVerdict() != classifier.MayHaveRun {
+			t.Fatal(j, err)
+		}
+	}
+	if n := len(tr.shard(shardA).jobs); n != 5 {
+		t.Errorf("%d records, want 5", n)
+	}
+	other := submission("x0", 3)
+	other.Service.Service = "other"
+	if _, err := tr.Submit(context.Background(), shardA, other); classifier.Of(err) != classifier.NotRun {
+		t.Error(err)
+	}
+}
+
 // TestHandover moves a finished, a running and no record to another home.
 func TestHandover(t *testing.T) {
 	ctx := context.Background()
