Measure what the path adds over a direct call

Cause: the figures of the unloaded path contained the late timers of the load tool and the stand-in, so they could not be held against the target.

--- a/load/internal/driver/driver.go
+++ b/load/internal/driver/driver.go
@@ -27,6 +27,7 @@
 
 	"radishweir.org/lib/caller"
 	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/upstream"
 	"radishweir.org/lib/wire"
 	"radishweir.org/load/internal/judge"
 	"radishweir.org/load/internal/scheduler"
@@ -61,10 +62,13 @@
 	WideShare     float64 `toml:"wide_share"`
 	WideTasks     int     `toml:"wide_tasks"`
 	DeadlineMS    int     `toml:"deadline_ms"`
-	IssuedShare   float64 `toml:"issued_share"`
-	GreedyShare   float64 `toml:"greedy_share"`
-	BurstFactor   float64 `toml:"burst_factor"`
-	CancelShare   float64 `toml:"cancel_share"`
+	// Direct sends single tasks straight to an upstream, as the baseline of what
+	// the entries add.
+	Direct      bool    `toml:"direct"`
+	IssuedShare float64 `toml:"issued_share"`
+	GreedyShare float64 `toml:"greedy_share"`
+	BurstFactor float64 `toml:"burst_factor"`
+	CancelShare float64 `toml:"cancel_share"`
 }
 
 // Job is one job of the trace.
@@ -157,13 +161,14 @@
 // driver holds the callers' connections.
 type driver struct {
 	*Scenario
-	http *http.Client
-	run  string
+	http      *http.Client
+	upstreams *upstream.Client
+	run       string
 }
 
 // Run sends all jobs and waits for their ends.
 func Run(ctx context.Context, s *Scenario, jobs []Job) []Result {
-	d := &driver{Scenario: s, run: strconv.FormatInt(time.Now().UnixNano(), 36), http: &http.Client{Transport: &http.Transport{
+	d := &driver{Scenario: s, upstreams: upstream.NewClient(connections), run: strconv.FormatInt(time.Now().UnixNano(), 36), http: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: connections, MaxIdleConns: 0,
 	}}}
 	out := make([]Result, len(jobs))
@@ -190,6 +195,9 @@
 	for _, t := range req.GetTasks() {
 		res.Inputs = append(res.Inputs, t.GetInput())
 	}
+	if d.Direct {
+		return d.sendDirect(ctx, req, res, at)
+	}
 	if j.Issued && !d.issue(ctx, j, req) {
 		return res
 	}
