Say that the platform cannot be reached instead of showing no entries

Change: status reports the error, the wait goes on. The scripts run the example files of radishweirctl and load as well.

Result: TestScripts passes. That the new check was red before was not run.

--- a/radishweirctl/internal/commander/questionnaire.go
+++ b/radishweirctl/internal/commander/questionnaire.go
@@ -95,10 +95,12 @@
 	return err
 }
 
-// floor is the highest revision of a service that any entry has in force.
+// floor is the highest revision of a service that any entry which can be
+// reached has in force.
 func (c *Commander) floor(ctx context.Context, service string) uint64 {
 	var n uint64
-	for _, st := range c.fetchAll(ctx) {
+	all, _ := c.fetchAll(ctx)
+	for _, st := range all {
 		for _, s := range st.status.Services {
 			if s.Name == service {
 				n = max(n, s.Revision)
@@ -141,8 +143,12 @@
 	began := time.Now()
 	done := make(map[string]bool)
 	for {
+		all, err := c.fetchAll(ctx)
 		missing := 0
-		for _, f := range c.fetchAll(ctx) {
+		if err != nil {
+			missing = 1
+		}
+		for _, f := range all {
 			if done[f.name] {
 				continue
 			}
--- a/radishweirctl/internal/commander/status.go
+++ b/radishweirctl/internal/commander/status.go
@@ -40,10 +40,10 @@
 }
 
 // fetchAll reads the status pages of all registered entries.
-func (c *Commander) fetchAll(ctx context.Context) []fetched {
+func (c *Commander) fetchAll(ctx context.Context) ([]fetched, error) {
 	snap, err := c.store.List(ctx, platform.EntryPrefix)
 	if err != nil {
-		return nil
+		return nil, err
 	}
 	out := make([]fetched, len(snap.KeyValues))
 	var wg sync.WaitGroup
@@ -60,12 +60,15 @@
 		})
 	}
 	wg.Wait()
-	return out
+	return out, nil
 }
 
 // status shows the entries.
 func (c *Commander) status(ctx context.Context) error {
-	all := c.fetchAll(ctx)
+	all, err := c.fetchAll(ctx)
+	if err != nil {
+		return err
+	}
 	var list []operator.Status
 	rows := [][]string{{"ENTRY", "DOMAIN", "STATE", "PLATFORM", "JOBS", "SHARDS", "SERVICES"}}
 	for _, f := range all {
