Use the field's terms for names that were metaphors

Cause: read as a newcomer, some names needed explaining: Hungry, patience, trip, blame, poorest, Stranger, debts, dealer, a job's fate.

Change: Backlogged, threshold, route, recordFailure, leastLoaded, RefusedHandshake, outstanding loans, assigner, outcome; the log events are now shards_assigned and job_outcome_unknown. No behaviour changes.

--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	b := &borrower.Borrower{Self: self, Members: registrar, Caller: client, Pools: dispatcher}
-//	d.Hungry, d.GiveBack = b.Ask, b.GiveBack
+//	d.Backlogged, d.GiveBack = b.Ask, b.GiveBack
 package borrower
 
 import (
--- a/lib/dispatcher/decision.go
+++ b/lib/dispatcher/decision.go
@@ -15,7 +15,7 @@
 	// inquiryInterval is the mean time between questions after a lost answer.
 	inquiryInterval = 200 * time.Millisecond
 	// inquiryMisses is the number of questions without an answer after which
-	// the task's fate is left open.
+	// the task's outcome is left unknown.
 	inquiryMisses = 4
 	// inquiryTimeout bounds one question.
 	inquiryTimeout = time.Second
@@ -153,10 +153,10 @@
 			s.ejectedUntil = time.Now().Add(watcher.Jitter(p.meanRun() / 4))
 			return
 		}
-		p.blame(s)
+		p.recordFailure(s)
 	default:
 		p.failing += learnRate * (1 - p.failing)
-		p.blame(s)
+		p.recordFailure(s)
 	}
 }
 
@@ -168,9 +168,9 @@
 	p.mean += rate * (d.Seconds() - p.mean)
 }
 
-// blame counts a failure of an upstream and ejects it on evidence, unless so
+// recordFailure counts a failure of an upstream and ejects it on evidence, unless so
 // many fail that the cause lies elsewhere; the caller holds the lock.
-func (p *Pool) blame(s *slots) {
+func (p *Pool) recordFailure(s *slots) {
 	if !s.fail() || s.removed {
 		return
 	}
@@ -190,7 +190,7 @@
 	time.AfterFunc(s.ejection, p.dispatch)
 }
 
-// mustInquire reports whether the fate of a not repeatable task is open.
+// mustInquire reports whether the outcome of a not repeatable task is unknown.
 func (p *Pool) mustInquire(a *attempt, err error) bool {
 	return err != nil && classifier.Of(err) == classifier.MayHaveRun &&
 		!p.cfg.Load().GetRepeatable() && !a.task.settled()
--- a/lib/dispatcher/dispatcher.go
+++ b/lib/dispatcher/dispatcher.go
@@ -106,9 +106,9 @@
 	Client Runner
 	// Recorder counts and observes.
 	Recorder Recorder
-	// Hungry is called when tasks of a service wait. Slots help whose expected
+	// Backlogged is called when tasks of a service wait. Slots help whose expected
 	// run time, in seconds, is below the given one; 0 for any.
-	Hungry func(service string, need int, below float64)
+	Backlogged func(service string, need int, below float64)
 	// Idle returns the slots of a service that other entries could lend, of those
 	// whose expected run time, in seconds, is below the given one; 0 for any.
 	Idle func(service string, below float64) int
--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -181,11 +181,11 @@
 		{"refused for want of a slot", false, script{err: dialFailed, res: upstream.Result{Busy: true}}, true, classifier.Ran, 1},
 		{"answer lost, task ended there", false, script{err: lost}, true, classifier.Ran, 1},
 		{"answer lost, task failed there", false, script{err: lost, status: ranBadly}, false, classifier.Ran, 1},
-		{"answer lost, fate unknown", false, script{err: lost, status: unknown}, false, classifier.MayHaveRun, 1},
+		{"answer lost, outcome unknown", false, script{err: lost, status: unknown}, false, classifier.MayHaveRun, 1},
 		{"answer lost, refused there", false, script{err: lost, status: dialFailed}, true, classifier.Ran, 2},
 		{"answer lost, repeatable", true, script{err: lost, status: unknown}, true, classifier.Ran, 2},
 		{"silent connection, task ended there", false, script{silent: true}, true, classifier.Ran, 1},
-		{"silent connection, fate unknown", false, script{silent: true, status: unknown}, false, classifier.MayHaveRun, 1},
+		{"silent connection, outcome unknown", false, script{silent: true, status: unknown}, false, classifier.MayHaveRun, 1},
 		{"silent connection, repeatable", true, script{silent: true, status: unknown}, true, classifier.Ran, 2},
 		{"failed there, must not repeat", false, script{err: ranBadly}, false, classifier.Ran, 1},
 		{"failed there, repeatable", true, script{err: ranBadly}, true, classifier.Ran, 2},
@@ -415,7 +415,7 @@
 		lender, borrower := newSetting(false, "a", 4), newSetting(false, "", 0)
 		borrower.play("a", script{run: 300 * time.Millisecond})
 		lender.play("a", script{run: 300 * time.Millisecond})
-		borrower.Hungry = func(_ string, need int, below float64) {
+		borrower.Backlogged = func(_ string, need int, below float64) {
 			if loans := lender.Pool("s").Lend(need, below); len(loans) > 0 {
 				go borrower.Pool("s").Adopt("lender", loans)
 			}
--- a/lib/dispatcher/loans.go
+++ b/lib/dispatcher/loans.go
@@ -27,8 +27,8 @@
 	until  time.Time
 }
 
-// debt is the lender's side: the lent slots that have not come back.
-type debt struct {
+// lentLoan is the lender's side: the lent slots that have not come back.
+type lentLoan struct {
 	slot *slots
 	left int
 }
@@ -62,7 +62,7 @@
 func (p *Pool) lend(s *slots, n int, until time.Time) *wire.SlotLoan {
 	p.lastLoan++
 	id := p.lastLoan
-	p.debts[id] = &debt{s, n}
+	p.outstanding[id] = &lentLoan{s, n}
 	time.AfterFunc(loanLife+returnLimit, func() {
 		p.reclaim(id, n)
 		p.dispatch()
@@ -99,7 +99,7 @@
 func (p *Pool) reclaim(id uint64, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.debts[id]
+	d := p.outstanding[id]
 	if d == nil {
 		return
 	}
@@ -107,7 +107,7 @@
 	d.left -= n
 	d.slot.lent -= n
 	if d.left == 0 {
-		delete(p.debts, id)
+		delete(p.outstanding, id)
 	}
 }
 
--- a/lib/dispatcher/pool.go
+++ b/lib/dispatcher/pool.go
@@ -39,16 +39,16 @@
 	policy  Policy[*slots]
 	// unsorted counts down the starts until order is sorted again.
 	unsorted int
-	// patient is true when tasks may wait for a faster slot.
-	patient bool
+	// mayWait is true when tasks may wait for a faster slot.
+	mayWait bool
 	free    []*slots
 	// mean is the moving average of the run time of all tasks, in seconds.
 	mean float64
 	// learned counts the runs that the mean is made of.
-	learned  int
-	running  int
-	open     map[string]int
-	patience patience
+	learned   int
+	running   int
+	open      map[string]int
+	threshold threshold
 	// looking is true while lookAgain is due.
 	looking bool
 	// failing is the moving average of failed starts, from 0 to 1.
@@ -56,21 +56,21 @@
 	retries budget
 	hedges  budget
 	runs    runTimes
-	// debts are the own loans to other entries by identifier.
-	debts    map[uint64]*debt
-	lastLoan uint64
+	// outstanding are the own loans to other entries by identifier.
+	outstanding map[uint64]*lentLoan
+	lastLoan    uint64
 	// returning is true while a return of borrowed slots is due.
 	returning atomic.Bool
 }
 
 func newPool(d *Dispatcher, name string) *Pool {
 	return &Pool{
-		Dispatcher: d,
-		name:       name,
-		queue:      queuer.New[*Task](),
-		targets:    make(map[string]*slots),
-		open:       make(map[string]int),
-		debts:      make(map[uint64]*debt),
+		Dispatcher:  d,
+		name:        name,
+		queue:       queuer.New[*Task](),
+		targets:     make(map[string]*slots),
+		open:        make(map[string]int),
+		outstanding: make(map[uint64]*lentLoan),
 	}
 }
 
@@ -80,7 +80,7 @@
 	defer p.mu.Unlock()
 	if p.policy == nil || p.cfg.Load().GetPolicy() != s.GetPolicy() {
 		p.policy = newPolicy(s.GetPolicy())
-		p.patient = s.GetPolicy() == PolicyFastest
+		p.mayWait = s.GetPolicy() == PolicyFastest
 	}
 	if p.mean == 0 {
 		p.mean = float64(s.GetTypicalRunMs()) / 1000
@@ -240,8 +240,8 @@
 		}
 		go p.run(t, s, startKind(t))
 	}
-	if n, below := p.need(); n > 0 && p.Hungry != nil {
-		p.Hungry(p.name, n, below)
+	if n, below := p.need(); n > 0 && p.Backlogged != nil {
+		p.Backlogged(p.name, n, below)
 	}
 }
 
@@ -269,7 +269,7 @@
 			return nil, nil
 		}
 		p.queue.Pop()
-		p.patience.observe(p.order)
+		p.threshold.observe(p.order)
 		s.busy++
 		p.running++
 		return t, s
@@ -280,10 +280,10 @@
 // holds reports whether t should wait for a faster slot than s, and makes sure
 // that it does not wait for ever; the caller holds the lock.
 func (p *Pool) holds(t *Task, s *slots) bool {
-	if !p.patient {
+	if !p.mayWait {
 		return false
 	}
-	worth, left := p.patience.worth(s, p.order, p.queue.Len(), p.idleElsewhere, t.queued, time.Now())
+	worth, left := p.threshold.worth(s, p.order, p.queue.Len(), p.idleElsewhere, t.queued, time.Now())
 	if worth {
 		return false
 	}
--- a/lib/dispatcher/patience.go
+++ b/lib/dispatcher/threshold.go
@@ -5,20 +5,20 @@
 // loadRate is the weight of the newest sample in the average of the load.
 const loadRate = 0.01
 
-// patience decides whether a waiting task should take a slow slot that is free
+// threshold decides whether a waiting task should take a slow slot that is free
 // or wait for a faster one that is busy.
 //
 // A task at the end of the queue would be served by the faster slots after
 // about length / rate + run, where rate and run are theirs. A slow slot is worth
 // taking only if it ends earlier. Waiting leaves the slow slot idle, which
 // later arrivals pay for, so the allowance shrinks as the load grows.
-type patience struct {
+type threshold struct {
 	// load is the moving average of the used share of the capacity.
 	load float64
 }
 
 // observe samples the used share of the capacity.
-func (w *patience) observe(order []*slots) {
+func (h *threshold) observe(order []*slots) {
 	used, all := 0.0, 0.0
 	for _, s := range order {
 		e := s.Estimate()
@@ -29,7 +29,7 @@
 		all += float64(s.Slots) / e
 	}
 	if all > 0 {
-		w.load += loadRate * (used/all - w.load)
+		h.load += loadRate * (used/all - h.load)
 	}
 }
 
@@ -37,7 +37,7 @@
 // given time while length tasks wait. idle returns the number of faster slots
 // that could be borrowed. If the slot is not worth taking, worth returns how
 // long the task can be expected to wait at the most.
-func (w *patience) worth(s *slots, order []*slots, length int, idle func(below float64) int, queued, now time.Time) (bool, time.Duration) {
+func (h *threshold) worth(s *slots, order []*slots, length int, idle func(below float64) int, queued, now time.Time) (bool, time.Duration) {
 	rate, run := 0.0, 0.0
 	for _, o := range order {
 		if o.Leaving || now.Before(o.ejectedUntil) || o.Estimate() >= s.Estimate() {
@@ -55,7 +55,7 @@
 	if left <= 0 {
 		return true, 0
 	}
-	allowed := gain * rate * max(0, 1-w.load)
+	allowed := gain * rate * max(0, 1-h.load)
 	if float64(length) <= allowed || float64(length-idle(s.Estimate())) <= allowed {
 		return false, left
 	}
--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -121,7 +121,7 @@
 }
 
 // verify checks the client's certificate inside the handshake and counts the
-// strangers, of which the listener would not tell.
+// refusedHandshakes, of which the listener would not tell.
 func (s *Server) verify(st tls.ConnectionState) error {
 	err := verifyClient(st, s.TLS.ClientCAs)
 	if err == nil {
--- a/lib/forwarder/forwarder.go
+++ b/lib/forwarder/forwarder.go
@@ -134,7 +134,7 @@
 	if !ok {
 		return nil, classifier.Later("the service has no failure domain", absentAdvice)
 	}
-	t := &trip{Forwarder: f, request: r, shard: s, until: time.Now().Add(searchLimit)}
+	t := &route{Forwarder: f, request: r, shard: s, until: time.Now().Add(searchLimit)}
 	answer, err := t.run(ctx)
 	if err != nil && r.Service.GetRepeatable() && t.lost(err) {
 		return f.submitAt(ctx, tracker.Local, r, 0)
--- a/lib/forwarder/trip.go
+++ b/lib/forwarder/route.go
@@ -19,8 +19,8 @@
 	resultFailed   = "failed"
 )
 
-// trip is the way of one submission to its home.
-type trip struct {
+// route is the way of one submission to its home.
+type route struct {
 	*Forwarder
 	request Request
 	shard   placer.Shard
@@ -34,7 +34,7 @@
 }
 
 // run follows the table until a home answers or the search ends.
-func (t *trip) run(ctx context.Context) (*wire.JobAnswer, error) {
+func (t *route) run(ctx context.Context) (*wire.JobAnswer, error) {
 	for {
 		answer, err := t.step(ctx)
 		if !again(err) {
@@ -62,7 +62,7 @@
 }
 
 // step sends the submission once to the home that the table names now.
-func (t *trip) step(ctx context.Context) (*wire.JobAnswer, error) {
+func (t *route) step(ctx context.Context) (*wire.JobAnswer, error) {
 	owner, ok := t.Placer.Owner(t.shard)
 	if !ok {
 		return nil, errAbsent
@@ -84,7 +84,7 @@
 }
 
 // read takes the result of one message to a home.
-func (t *trip) read(ctx context.Context, epoch uint64, reply *wire.Reply, err error) (*wire.JobAnswer, error) {
+func (t *route) read(ctx context.Context, epoch uint64, reply *wire.Reply, err error) (*wire.JobAnswer, error) {
 	switch {
 	case err != nil:
 		t.count(resultFailed)
@@ -97,13 +97,13 @@
 	return reply.GetAnswer(), nil
 }
 
-func (t *trip) count(result string) {
+func (t *route) count(result string) {
 	t.Recorder.Forward(t.request.Service.GetService(), t.request.Tenant.GetName(), result)
 }
 
 // failed decides on a message that got no reply. One that may have arrived is
 // sent once more: the records of the epoch join it to the first.
-func (t *trip) failed(ctx context.Context, epoch uint64, err error) (*wire.JobAnswer, error) {
+func (t *route) failed(ctx context.Context, epoch uint64, err error) (*wire.JobAnswer, error) {
 	if classifier.Of(err) == classifier.MayHaveRun {
 		if t.reached == 0 {
 			t.reached = epoch
@@ -118,7 +118,7 @@
 
 // refusal is the final answer when no home answered. It is not_run only for a
 // first attempt that was never written to a home.
-func (t *trip) refusal(err error) error {
+func (t *route) refusal(err error) error {
 	v := classifier.MayHaveRun
 	if t.reached == 0 && (t.request.Job.GetAttempt() == 1 || t.request.Service.GetRepeatable()) {
 		v = classifier.NotRun
@@ -132,7 +132,7 @@
 type lostError struct{ error }
 
 // lost reports whether err is the absence of a home.
-func (t *trip) lost(err error) bool {
+func (t *route) lost(err error) bool {
 	var l *lostError
 	return errors.As(err, &l)
 }
--- a/lib/placer/dealer.go
+++ b/lib/placer/assigner.go
@@ -13,9 +13,9 @@
 	"radishweir.org/lib/wire"
 )
 
-// deal gives the shards that have no living home to live members. It reports
+// assign gives the shards that have no living home to live members. It reports
 // whether it tried to change the table.
-func (p *Placer) deal(ctx context.Context) bool {
+func (p *Placer) assign(ctx context.Context) bool {
 	fd := p.Self.GetFailureDomain()
 	t, ok := p.held(fd)
 	if !ok {
@@ -33,7 +33,7 @@
 		return false
 	}
 	err := p.write(ctx, t)
-	p.Log.Info().Str("failure_domain", fd).Int("shards", n).AnErr("result", err).Msg("shards_dealt")
+	p.Log.Info().Str("failure_domain", fd).Int("shards", n).AnErr("result", err).Msg("shards_assigned")
 	return true
 }
 
@@ -58,7 +58,7 @@
 		if o.GetName() != "" && !p.Members.Dead(o.GetName(), o.GetIncarnation()) {
 			continue
 		}
-		m := poorest(live, counts)
+		m := leastLoaded(live, counts)
 		counts[m.GetName()]++
 		next := &wire.ShardOwner{
 			Name: m.GetName(), Incarnation: m.GetIncarnation(), Epoch: nextEpoch(o.GetEpoch()),
@@ -99,8 +99,8 @@
 	return out
 }
 
-// poorest returns the member with the fewest shards for its weight.
-func poorest(live []registrar.Member, counts map[string]int) registrar.Member {
+// leastLoaded returns the member with the fewest shards for its weight.
+func leastLoaded(live []registrar.Member, counts map[string]int) registrar.Member {
 	best := live[0]
 	for _, m := range live[1:] {
 		if counts[m.GetName()]*weight(best) < counts[best.GetName()]*weight(m) {
--- a/lib/placer/handover.go
+++ b/lib/placer/handover.go
@@ -24,7 +24,7 @@
 		return
 	}
 	counts := p.counts(t.ShardTable)
-	to := poorest(live, counts)
+	to := leastLoaded(live, counts)
 	own := p.ownShards(t)
 	mine := max(1, int(p.Self.GetWeight()))
 	n := (len(own)*weight(to) - counts[to.GetName()]*mine) / (mine + weight(to))
@@ -67,7 +67,7 @@
 	if len(others) == 0 {
 		return errors.New("no other entry of the failure domain is live")
 	}
-	to := poorest(others, p.counts(t.ShardTable))
+	to := leastLoaded(others, p.counts(t.ShardTable))
 	part := (len(own) + len(others) - 1) / len(others)
 	if !p.handOver(ctx, t, own[:part], to) {
 		return errors.Errorf("%d shards remain", len(own))
@@ -159,7 +159,7 @@
 	}
 }
 
-// settleOnce reads the table and returns nil when the lost write's fate is
+// settleOnce reads the table and returns nil when the lost write's outcome is
 // known and the table held is the platform's.
 func (p *Placer) settleOnce(ctx context.Context, lost table) error {
 	kv, err := p.Store.Get(ctx, Key(lost.GetFailureDomain()))
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -6,7 +6,7 @@
 //
 // The table changes only by compare-and-swap. A live home gives a shard away
 // by a handover, which keeps the shard's epoch. The shards of a home whose
-// death is confirmed are dealt to the entries that remain, in a new epoch:
+// death is confirmed are assigned to the entries that remain, in a new epoch:
 // what the dead home had started is then unknown.
 //
 // # Usage
@@ -298,7 +298,7 @@
 	return p.wake
 }
 
-// Run deals and balances the shards of the own failure domain until ctx ends.
+// Run assigns and balances the shards of the own failure domain until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
 	for {
 		p.Step(ctx)
@@ -315,7 +315,7 @@
 func (p *Placer) Step(ctx context.Context) {
 	p.step.Lock()
 	defer p.step.Unlock()
-	if p.restore(ctx) || p.deal(ctx) {
+	if p.restore(ctx) || p.assign(ctx) {
 		return
 	}
 	p.balance(ctx)
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -24,16 +24,16 @@
 
 // Recorder implements the recorder interfaces of the other packages.
 type Recorder struct {
-	messages  *prometheus.CounterVec
-	forwards  *prometheus.CounterVec
-	borrows   *prometheus.CounterVec
-	requests  *prometheus.CounterVec
-	platform  *prometheus.CounterVec
-	ended     *prometheus.CounterVec
-	wait      *prometheus.HistogramVec
-	run       *prometheus.HistogramVec
-	response  *prometheus.HistogramVec
-	strangers prometheus.Counter
+	messages          *prometheus.CounterVec
+	forwards          *prometheus.CounterVec
+	borrows           *prometheus.CounterVec
+	requests          *prometheus.CounterVec
+	platform          *prometheus.CounterVec
+	ended             *prometheus.CounterVec
+	wait              *prometheus.HistogramVec
+	run               *prometheus.HistogramVec
+	response          *prometheus.HistogramVec
+	refusedHandshakes prometheus.Counter
 }
 
 // New registers the metrics.
@@ -56,7 +56,7 @@
 		wait:     histogram("queue_wait_seconds", "Time that tasks waited for a slot."),
 		run:      histogram("upstream_seconds", "Time that upstreams took for a task."),
 		response: histogram("response_seconds", "Time from a submission to its answer."),
-		strangers: f.NewCounter(prometheus.CounterOpts{
+		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
 		}),
 	}
@@ -110,5 +110,5 @@
 	r.ended.WithLabelValues(service, tenant, state, verdict).Inc()
 }
 
-// Stranger counts a connection that failed the handshake.
-func (r *Recorder) Stranger() { r.strangers.Inc() }
+// RefusedHandshake counts a connection that failed the handshake.
+func (r *Recorder) RefusedHandshake() { r.refusedHandshakes.Inc() }
--- a/lib/sharer/sharer.go
+++ b/lib/sharer/sharer.go
@@ -1,7 +1,7 @@
 // Package sharer divides the slots of the upstreams among the entries.
 //
 // Every entry computes the same division from the members and the VM list, so
-// that no message is needed: each upstream's slots are dealt to the entries of
+// that no message is needed: each upstream's slots are divided among the entries of
 // its failure domain in proportion to their weights. When entries outnumber
 // slots each upstream is used by some of them only. A larger share takes
 // effect after a delay, in which the former owners learn of it.
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -194,7 +194,7 @@
 		JobId: k.id, State: wire.JobState_failed, Verdict: classifier.MayHaveRun,
 		Reason: "an earlier home of the job was lost and may have started it",
 	})
-	t.Log.Warn().Str("tenant", k.tenant).Str("job", k.id).Msg("job_fate_unknown")
+	t.Log.Warn().Str("tenant", k.tenant).Str("job", k.id).Msg("job_outcome_unknown")
 	return j
 }
 
--- a/proof/placer_test.go
+++ b/proof/placer_test.go
@@ -162,7 +162,7 @@
 }
 
 // join starts the placer of a new entry. The function returned stops its own
-// dealing, as a drain does, while it goes on watching.
+// assigning, as a drain does, while it goes on watching.
 func (d *domain) join(name string) (*placer.Placer, context.CancelFunc) {
 	p := &placer.Placer{
 		Self: d.add(name), Store: d.store, Members: d.members, Keeper: &keeper{d.ledger, name}, Caller: stager{}, Log: zerolog.Nop(),
@@ -172,8 +172,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { w.Run(ctx) })
-	dealing, stop := context.WithCancel(ctx)
-	wg.Go(func() { p.Run(dealing) })
+	assigning, stop := context.WithCancel(ctx)
+	wg.Go(func() { p.Run(assigning) })
 	d.t.Cleanup(func() { cancel(); wg.Wait() })
 	return p, stop
 }
@@ -208,7 +208,7 @@
 	}
 }
 
-// TestHomes deals and hands over shards while the platform fails in each way.
+// TestHomes assigns and hands over shards while the platform fails in each way.
 func TestHomes(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -261,7 +261,7 @@
 	d.once()
 }
 
-// TestTakeover deals the shards of a dead home in a new epoch.
+// TestTakeover assigns the shards of a dead home in a new epoch.
 func TestTakeover(t *testing.T) {
 	d := newDomain(t)
 	d.join("a")
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -141,13 +141,13 @@
 	e.borrower = &borrower.Borrower{
 		Self: e.self, Members: e.registrar, Caller: e.entries, Pools: e.dispatcher, Recorder: e.recorder,
 	}
-	e.dispatcher.Hungry, e.dispatcher.GiveBack, e.dispatcher.Idle = e.borrower.Ask, e.borrower.GiveBack, e.borrower.Idle
+	e.dispatcher.Backlogged, e.dispatcher.GiveBack, e.dispatcher.Idle = e.borrower.Ask, e.borrower.GiveBack, e.borrower.Idle
 }
 
 // buildServers builds the three servers.
 func (e *Entry) buildServers(cfg *tls.Config) {
 	e.entryServer = &entry.Server{
-		Address: e.EntryAddress, TLS: cfg, Log: e.Log, Refused: e.recorder.Stranger,
+		Address: e.EntryAddress, TLS: cfg, Log: e.Log, Refused: e.recorder.RefusedHandshake,
 		Handler: &responder.Responder{
 			Self: e.self, Configurer: e.configurer, Registrar: e.registrar, Placer: e.placer,
 			Tracker: e.tracker, Forwarder: e.forwarder, Dispatcher: e.dispatcher, Heartbeat: e.heartbeat,
@@ -203,15 +203,15 @@
 	work.Go(func() { e.registrar.Run(ctx) })
 	work.Go(func() { e.heartbeater.Run(ctx) })
 	work.Go(func() { e.tracker.Run(ctx) })
-	dealing, stopDealing := context.WithCancel(ctx)
-	defer stopDealing()
-	work.Go(func() { e.placer.Run(dealing) })
+	assigning, stopAssigning := context.WithCancel(ctx)
+	defer stopAssigning()
+	work.Go(func() { e.placer.Run(assigning) })
 	e.Log.Info().Str("incarnation", e.self.GetIncarnation()).Str("callers", e.CallerAddress).Msg("started")
 	select {
 	case <-ctx.Done():
 	case sig := <-signals:
 		e.Log.Info().Str("signal", sig.String()).Msg("draining")
-		stopDealing()
+		stopAssigning()
 		e.drain(ctx, signals)
 	}
 	cancel()
