Make the test of a restored table fail without its guard

Survived: a lost shard table not written again; the next change of the table hid it.

Change: TestTableRestored now waits for the table itself before any other change. With the guard out it fails after 8 s ("the lost table was not written again"); with it, it passes.

--- a/proof/placer_test.go
+++ b/proof/placer_test.go
@@ -298,7 +298,15 @@
 	d.join("b")
 	d.settle("a", "b")
 	d.plat.Restore(old)
-	time.Sleep(time.Second)
+	for end := time.Now().Add(8 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		kv, err := d.store.Get(context.Background(), placer.Key("north"))
+		if err == nil && strings.Contains(string(kv.Value), `"b-1"`) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the lost table was not written again")
+		}
+	}
 	d.join("c")
 	d.settle("a", "b", "c")
 	d.once()
