--- /dev/null
+++ b/lib/coordinator/coordinator.go
@@ -0,0 +1,233 @@
+// Package coordinator brings the jobs of this entry's callers to upstreams.
+//
+// A job waits until enough upstreams have room for its tasks, then its tasks
+// are sent to the owners of these upstreams. A job that can no longer be
+// answered in time and of which nothing was started is refused. A job that was
+// started stays until all its tasks are done, one failed too often, or the
+// caller's deadline passed.
+//
+// # Usage
+//
+//	c := &coordinator.Coordinator{Self: "entry-1", Domain: "domain-1", Local: runner, Remote: peers, Log: log}
+//	go c.Run(ctx)
+//	answer := c.Submit(ctx, job)
+//
+// The state of the fleet comes through Upstreams, Update, Up and Down, the ends
+// of runs through Ended. Nothing here knows of the network.
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/wire"
+)
+
+// Local runs tasks on the upstreams that this entry owns.
+type Local interface {
+	Request(ctx context.Context, requester string, q *wire.RunRequest)
+	Cancel(ctx context.Context, c *wire.RunCancel)
+}
+
+// Remote sends messages to the owners of other upstreams; false if a peer is
+// down.
+type Remote interface {
+	Send(peer string, add func(f *wire.PeerFrame)) bool
+}
+
+// Observer counts jobs.
+type Observer interface {
+	// Job tells the outcome of a job and the time until its answer.
+	Job(kind, state, reason string, total time.Duration)
+}
+
+// Coordinator holds the open jobs of one entry. Exported fields are set before
+// Run.
+type Coordinator struct {
+	// Self is the name of this entry.
+	Self string
+	// Domain is its failure domain.
+	Domain   string
+	Local    Local
+	Remote   Remote
+	Observer Observer
+	// Log receives events.
+	Log zerolog.Logger
+
+	wake chan struct{}
+	ctx  context.Context
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	waiting  []*job
+	sites    map[string]*site
+	services map[string][]*site
+	links    map[string]*link
+	kinds    map[string]*kind
+	scratch  []packer.Candidate
+}
+
+// message is a request or a cancellation for the owner of an upstream.
+type message struct {
+	owner  string
+	start  *wire.RunRequest
+	cancel *wire.RunCancel
+}
+
+// Init prepares the coordinator; it is called once before any other method.
+func (c *Coordinator) Init(ctx context.Context) {
+	c.ctx = ctx
+	c.wake = make(chan struct{}, 1)
+	c.jobs, c.sites = make(map[string]*job), make(map[string]*site)
+	c.links, c.kinds = make(map[string]*link), make(map[string]*kind)
+}
+
+// Run places waiting tasks until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-t.C:
+		}
+		next := c.Pass(time.Now())
+		t.Reset(next)
+	}
+}
+
+// Wake makes Run look at the waiting tasks.
+func (c *Coordinator) Wake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Submit takes a job and waits for its answer. A second submission of an open
+// job gets the same answer. When ctx ends the caller has left.
+func (c *Coordinator) Submit(ctx context.Context, in Job) Answer {
+	c.mu.Lock()
+	j := c.jobs[in.ID]
+	if j == nil {
+		j = newJob(in)
+		if !c.possible(j) {
+			c.mu.Unlock()
+			return c.refuse(j, "no upstream is large enough")
+		}
+		c.jobs[j.ID] = j
+		c.enqueue(j)
+	}
+	j.joined++
+	c.mu.Unlock()
+	c.Wake()
+	select {
+	case a := <-j.answer:
+		j.answer <- a
+		return a
+	case <-ctx.Done():
+		return c.leave(j)
+	}
+}
+
+// enqueue ranks a job and puts it into the queue; the caller holds the lock.
+func (c *Coordinator) enqueue(j *job) {
+	k := c.kinds[j.Kind]
+	if k == nil {
+		k = &kind{at: j.Arrived}
+		c.kinds[j.Kind] = k
+	}
+	s := size(&j.Job)
+	k.arrive(j.Arrived, s)
+	j.weight = k.rank(s)
+	c.queue(j)
+}
+
+// queue puts a job among the waiting; the caller holds the lock.
+func (c *Coordinator) queue(j *job) {
+	at, _ := slices.BinarySearchFunc(c.waiting, j, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), a.Arrived.Compare(b.Arrived))
+	})
+	c.waiting = slices.Insert(c.waiting, at, j)
+}
+
+// leave takes a caller that does not wait any longer.
+func (c *Coordinator) leave(j *job) Answer {
+	c.mu.Lock()
+	j.joined--
+	var out []message
+	if j.joined == 0 && c.jobs[j.ID] == j {
+		out = c.close(j, Answer{State: Cancelled, Reason: "the caller left"})
+	}
+	c.mu.Unlock()
+	c.emit(out)
+	return Answer{State: Cancelled}
+}
+
+// close answers a job and returns the cancellations of what still runs; the
+// caller holds the lock.
+func (c *Coordinator) close(j *job, a Answer) []message {
+	delete(c.jobs, j.ID)
+	if i := slices.Index(c.waiting, j); i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
+	var out []message
+	for _, t := range j.tasks {
+		if t.placed {
+			out = append(out, message{owner: t.owner, cancel: &wire.RunCancel{Upstream: t.upstream, Task: t.name(), Run: t.run}})
+		}
+	}
+	c.observe(j, a)
+	j.answer <- a
+	return out
+}
+
+// observe counts and logs an answer.
+func (c *Coordinator) observe(j *job, a Answer) {
+	now := time.Now()
+	if c.Observer != nil {
+		c.Observer.Job(j.Kind, a.State.String(), a.Reason, now.Sub(j.Arrived))
+	}
+	if a.State != Complete {
+		c.Log.Info().Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
+			Dur("after", now.Sub(j.Arrived)).Int("tasks", j.Tasks).Int("done", j.done).Int("placed", j.placed).
+			Int("waiting", len(c.waiting)).Msg("job_ended")
+	}
+}
+
+// refuse answers a job of which nothing was started.
+func (c *Coordinator) refuse(j *job, reason string) Answer {
+	a := Answer{State: Refused, Reason: reason, RetryAfter: retryAfter(len(c.waiting))}
+	c.observe(j, a)
+	return a
+}
+
+// emit sends messages; the caller does not hold the lock.
+func (c *Coordinator) emit(list []message) {
+	for _, m := range list {
+		switch {
+		case m.owner == c.Self && m.start != nil:
+			c.Local.Request(c.ctx, c.Self, m.start)
+		case m.owner == c.Self:
+			c.Local.Cancel(c.ctx, m.cancel)
+		case m.start != nil:
+			c.Remote.Send(m.owner, func(f *wire.PeerFrame) { f.Requests = append(f.Requests, m.start) })
+		default:
+			c.Remote.Send(m.owner, func(f *wire.PeerFrame) { f.Cancels = append(f.Cancels, m.cancel) })
+		}
+	}
+}
+
+// Counts returns the number of open and of waiting jobs.
+func (c *Coordinator) Counts() (open, waiting int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs), len(c.waiting)
+}
--- /dev/null
+++ b/lib/coordinator/fleet.go
@@ -0,0 +1,196 @@
+package coordinator
+
+import (
+	"time"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+// site is an upstream as this entry sees it.
+type site struct {
+	runner.Upstream
+	owner string
+	// known is true once the owner told the state.
+	known    bool
+	free     packer.Amount
+	slowness float64
+	usable   bool
+	// sent is the sum of the requests that the owner has not taken yet.
+	sent packer.Amount
+}
+
+// room is what new requests may take.
+func (s *site) room() packer.Amount { return s.free.Minus(s.sent) }
+
+// request is a request that a peer has not taken yet.
+type request struct {
+	number uint64
+	site   *site
+	amount packer.Amount
+}
+
+// link is the connection to one peer.
+type link struct {
+	up      bool
+	session uint64
+	number  uint64
+	open    []request
+}
+
+// taken drops the requests up to the given number.
+func (l *link) taken(number uint64) {
+	n := 0
+	for n < len(l.open) && l.open[n].number <= number {
+		l.open[n].site.sent = l.open[n].site.sent.Minus(l.open[n].amount)
+		n++
+	}
+	l.open = l.open[n:]
+}
+
+// candidates lists where a task of the job may start now so that it ends by the
+// given time. It returns nil when fewer than n tasks fit.
+func (c *Coordinator) candidates(j *job, avoid map[string]bool, n int, left time.Duration) []packer.Candidate {
+	fits := 0
+	list := c.scratch[:0]
+	for _, s := range c.services[j.Service] {
+		if !c.usable(s) || avoid[s.Name] {
+			continue
+		}
+		if time.Duration(float64(j.expected())*s.slowness) > left {
+			continue
+		}
+		k := s.room().Copies(j.Need, n)
+		if k == 0 {
+			continue
+		}
+		fits += k
+		list = append(list, packer.Candidate{Name: s.Name, Free: s.room(), Slowness: s.slowness, Near: s.Domain == c.Domain})
+	}
+	c.scratch = list
+	if fits < n {
+		return nil
+	}
+	return list
+}
+
+// usable reports whether new runs may be sent to a site.
+func (c *Coordinator) usable(s *site) bool {
+	if !s.known || !s.usable || s.Leaving {
+		return false
+	}
+	return s.owner == c.Self || (c.links[s.owner] != nil && c.links[s.owner].up)
+}
+
+// possible reports whether any upstream could ever hold a task of the job.
+func (c *Coordinator) possible(j *job) bool {
+	for _, s := range c.services[j.Service] {
+		if s.Capacity.Holds(j.Need) {
+			return true
+		}
+	}
+	return false
+}
+
+// Upstreams replaces the upstreams and their owners.
+func (c *Coordinator) Upstreams(list []runner.Upstream, owner map[string]string) {
+	c.mu.Lock()
+	sites := make(map[string]*site, len(list))
+	services := make(map[string][]*site)
+	for _, u := range list {
+		s := c.sites[u.Name]
+		if s == nil {
+			s = &site{slowness: 1}
+		}
+		s.Upstream = u
+		if s.owner != owner[u.Name] {
+			s.owner = owner[u.Name]
+			s.known, s.usable = false, false
+		}
+		sites[u.Name] = s
+		services[u.Service] = append(services[u.Service], s)
+	}
+	c.sites, c.services = sites, services
+	out := c.reattach(func(t *task) bool { s := sites[t.upstream]; return s != nil && s.owner != t.owner })
+	c.mu.Unlock()
+	c.emit(out)
+	c.Wake()
+}
+
+// Update takes the states of upstreams from their owner.
+func (c *Coordinator) Update(owner string, whole bool, list []*wire.UpstreamState) {
+	c.mu.Lock()
+	if whole {
+		for _, s := range c.sites {
+			if s.owner == owner {
+				s.known = false
+			}
+		}
+	}
+	for _, u := range list {
+		s := c.sites[u.GetUpstream()]
+		if s == nil || s.owner != owner {
+			continue
+		}
+		s.known, s.usable = true, u.GetUsable()
+		s.free = runner.AmountOf(u.GetFree())
+		s.slowness = u.GetSlowness()
+	}
+	c.mu.Unlock()
+	c.Wake()
+}
+
+// Taken notes how many requests a peer took.
+func (c *Coordinator) Taken(peer string, session, number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[peer]; l != nil && l.session == session {
+		l.taken(number)
+	}
+}
+
+// Up notes that a peer can be reached, and asks it for the runs that it owns.
+func (c *Coordinator) Up(peer string, session uint64) {
+	c.mu.Lock()
+	c.links[peer] = &link{up: true, session: session}
+	out := c.reattach(func(t *task) bool { return t.owner == peer })
+	c.mu.Unlock()
+	c.emit(out)
+	c.Wake()
+}
+
+// Down notes that a peer cannot be reached.
+func (c *Coordinator) Down(peer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[peer]; l != nil {
+		l.taken(l.number)
+		l.up = false
+	}
+	for _, s := range c.sites {
+		if s.owner == peer {
+			s.known = false
+		}
+	}
+}
+
+// reattach asks the present owners for the runs that match; the caller holds
+// the lock.
+func (c *Coordinator) reattach(match func(*task) bool) []message {
+	var out []message
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if !t.placed || !match(t) {
+				continue
+			}
+			if s := c.sites[t.upstream]; s != nil {
+				t.owner = s.owner
+			}
+			if m, ok := c.message(t, true); ok {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lib/coordinator/pass.go
@@ -0,0 +1,282 @@
+package coordinator
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// idleInterval is the longest time between two passes.
+	idleInterval = time.Second
+	// shortestInterval is the shortest time until a timed pass.
+	shortestInterval = time.Millisecond
+	// startMargin covers the way of an order to an upstream and back.
+	startMargin = 5 * time.Millisecond
+	// roundMargin covers the spread of run times when tasks run in turns.
+	roundMargin = 1.2
+	// runGap is added to a run's number after an upstream had seen a higher one.
+	runGap = 8
+	// firstRetry and retrySpread bound the advice to a refused caller.
+	firstRetry  = time.Second
+	retrySpread = time.Second
+)
+
+// retryAfter advises a refused caller; the spread keeps callers from coming
+// back together.
+func retryAfter(waiting int) time.Duration {
+	return firstRetry + time.Duration(waiting)*10*time.Millisecond + rand.N(retrySpread)
+}
+
+// Pass places what can be placed, refuses what can no longer be answered in
+// time, and returns the time until the next pass is due.
+func (c *Coordinator) Pass(now time.Time) time.Duration {
+	c.mu.Lock()
+	out := c.expire(now)
+	out = append(out, c.finishBegun(now)...)
+	out = append(out, c.startWaiting(now)...)
+	next := c.next(now)
+	c.mu.Unlock()
+	c.emit(out)
+	return next
+}
+
+// expire answers the jobs whose callers wait no longer.
+func (c *Coordinator) expire(now time.Time) []message {
+	var out []message
+	for _, j := range c.jobs {
+		if now.Before(j.Until) {
+			continue
+		}
+		a := Answer{State: Expired, Reason: "the caller's deadline passed"}
+		if !j.begun {
+			a = Answer{State: Refused, Reason: "the caller's deadline passed", RetryAfter: retryAfter(len(c.waiting))}
+		}
+		out = append(out, c.close(j, a)...)
+	}
+	return out
+}
+
+// finishBegun places the waiting tasks of jobs that were started, the earliest
+// due first.
+func (c *Coordinator) finishBegun(now time.Time) []message {
+	var list []*job
+	for _, j := range c.jobs {
+		if j.begun && j.placed+j.done < len(j.tasks) {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID)) })
+	var out []message
+	for _, j := range list {
+		for _, t := range j.open() {
+			found := c.candidates(j, t.avoid, 1, j.Until.Sub(now))
+			if found == nil {
+				found = c.candidates(j, nil, 1, j.Until.Sub(now))
+			}
+			if found == nil {
+				break
+			}
+			out = append(out, c.place(j, []*task{t}, packer.Pack(1, j.Need, found))...)
+		}
+	}
+	return out
+}
+
+// startWaiting starts the jobs that fit, by rank, and refuses those that are
+// too late.
+func (c *Coordinator) startWaiting(now time.Time) []message {
+	var out []message
+	for _, j := range slices.Clone(c.waiting) {
+		left := j.Due.Sub(now) - startMargin
+		if left < c.fastest(j) {
+			out = append(out, c.close(j, Answer{
+				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(len(c.waiting)),
+			})...)
+			continue
+		}
+		open := j.open()
+		n := c.wanted(j, len(open), left)
+		found := c.candidates(j, nil, n, left)
+		if found == nil {
+			continue
+		}
+		chosen := packer.Pack(len(open), j.Need, found)
+		if len(chosen) < n {
+			continue
+		}
+		out = append(out, c.place(j, open, chosen)...)
+		j.begun = true
+		if i := slices.Index(c.waiting, j); i >= 0 {
+			c.waiting = slices.Delete(c.waiting, i, i+1)
+		}
+	}
+	return out
+}
+
+// wanted is the number of tasks that must start at once so that all of them end
+// in time when the others run after them.
+func (c *Coordinator) wanted(j *job, tasks int, left time.Duration) int {
+	turns := int(float64(left) / (roundMargin * float64(j.expected())))
+	if turns < 2 {
+		return tasks
+	}
+	return (tasks + turns - 1) / turns
+}
+
+// fastest is the shortest run time that is expected for a task of the job.
+func (c *Coordinator) fastest(j *job) time.Duration {
+	best := 0.0
+	for _, s := range c.services[j.Service] {
+		if c.usable(s) && s.Capacity.Holds(j.Need) && (best == 0 || s.slowness < best) {
+			best = s.slowness
+		}
+	}
+	if best == 0 {
+		best = 1
+	}
+	return time.Duration(float64(j.expected()) * best)
+}
+
+// place assigns tasks to the chosen upstreams, as far as these reach.
+func (c *Coordinator) place(j *job, tasks []*task, chosen []string) []message {
+	var out []message
+	for i, name := range chosen {
+		s, t := c.sites[name], tasks[i]
+		t.run++
+		t.upstream, t.owner, t.placed = name, s.owner, true
+		j.placed++
+		if m, ok := c.message(t, false); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// message builds the request for a placed task; the caller holds the lock. It
+// reports false while the owner cannot be reached.
+func (c *Coordinator) message(t *task, attach bool) (message, bool) {
+	j, s := t.job, c.sites[t.upstream]
+	q := &wire.RunRequest{
+		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.MessageOf(j.Need),
+		ExpectedMs: float64(j.expected().Microseconds()) / 1000, Attach: attach,
+	}
+	if !attach {
+		q.Spec = j.Spec
+	}
+	if t.owner != c.Self {
+		l := c.links[t.owner]
+		if l == nil || !l.up {
+			return message{}, false
+		}
+		l.number++
+		if !attach && s != nil {
+			s.sent = s.sent.Plus(j.Need)
+			l.open = append(l.open, request{l.number, s, j.Need})
+		}
+	} else if !attach && s != nil {
+		// The owner's own state follows at once; until then the room is taken.
+		s.free = s.free.Minus(j.Need)
+	}
+	return message{owner: t.owner, start: q}, true
+}
+
+// Ended takes the end of a run.
+func (c *Coordinator) Ended(e *wire.RunEnd) {
+	c.mu.Lock()
+	out := c.ended(e)
+	c.mu.Unlock()
+	c.emit(out)
+	c.Wake()
+}
+
+// ended finds the task and takes the end; the caller holds the lock.
+func (c *Coordinator) ended(e *wire.RunEnd) []message {
+	t := c.find(e)
+	if t == nil {
+		return nil
+	}
+	j := t.job
+	t.placed = false
+	j.placed--
+	switch e.GetCause() {
+	case wire.RunEnd_done:
+		t.done = true
+		j.ran = true
+		j.done++
+		if j.done == len(j.tasks) {
+			return c.close(j, Answer{State: Complete})
+		}
+	case wire.RunEnd_failed:
+		j.ran = true
+		t.failures++
+		t.miss(e.GetUpstream())
+		if t.failures >= max(j.MaxFailures, 1) {
+			return c.close(j, Answer{State: Failed, Reason: "a task failed too often"})
+		}
+	case wire.RunEnd_stopped, wire.RunEnd_lost:
+		j.ran = true
+		t.miss(e.GetUpstream())
+	case wire.RunEnd_superseded:
+		t.run += runGap
+	case wire.RunEnd_refused:
+		t.miss(e.GetUpstream())
+	}
+	c.reconsider(j)
+	return nil
+}
+
+// reconsider puts a job back among the waiting if certainly nothing of it ran;
+// the caller holds the lock.
+func (c *Coordinator) reconsider(j *job) {
+	if j.begun && !j.ran && j.placed == 0 {
+		j.begun = false
+		c.queue(j)
+	}
+}
+
+// miss notes an upstream on which a run of the task went wrong.
+func (t *task) miss(upstream string) {
+	if t.avoid == nil {
+		t.avoid = make(map[string]bool)
+	}
+	t.avoid[upstream] = true
+}
+
+// find returns the placed task of a run, nil if there is none.
+func (c *Coordinator) find(e *wire.RunEnd) *task {
+	id, rest, _ := strings.Cut(e.GetTask(), ".")
+	i, err := strconv.Atoi(rest[strings.LastIndex(rest, ".")+1:])
+	j := c.jobs[id]
+	if err != nil || j == nil || i >= len(j.tasks) {
+		return nil
+	}
+	t := j.tasks[i]
+	if !t.placed || t.run != e.GetRun() || t.upstream != e.GetUpstream() {
+		return nil
+	}
+	return t
+}
+
+// next is the time until a waiting job becomes too late or a caller leaves.
+func (c *Coordinator) next(now time.Time) time.Duration {
+	next := now.Add(idleInterval)
+	for _, j := range c.waiting {
+		if at := j.Due.Add(-startMargin - c.fastest(j)); at.Before(next) {
+			next = at
+		}
+	}
+	for _, j := range c.jobs {
+		if j.Until.Before(next) {
+			next = j.Until
+		}
+	}
+	return max(next.Sub(now), shortestInterval)
+}
--- /dev/null
+++ b/lib/enroller/enroller.go
@@ -0,0 +1,222 @@
+// Package enroller registers this entry in the store and follows the
+// registrations of the others.
+//
+// A registration lives under a lease. Ownership of upstreams follows from the
+// registrations at one revision of the store, so the revision serves as the
+// fencing token. An entry that loses its registration, or the store, goes on
+// with what it knows; upstreams refuse it once another entry owns them.
+//
+// # Usage
+//
+//	e := &enroller.Enroller{Self: registration, Store: store, Changed: divide, Log: log}
+//	w.On(platform.EntryPrefix, e.Apply)
+//	go e.Run(ctx)
+package enroller
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/watcher"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// leaseSeconds is the life of a registration that is not renewed; it bounds
+	// how long the upstreams of a dead entry are idle.
+	leaseSeconds = 2
+	// renewInterval leaves two tries within a lease.
+	renewInterval = 600 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = time.Second
+	// outageGrace is how long registrations that are missing after the store was
+	// away still count; their entries are back within two renewals.
+	outageGrace = 1500 * time.Millisecond
+)
+
+// member is a registered entry.
+type member struct {
+	*wire.Registration
+	// until is the end of the grace of a missing registration; zero while it is
+	// there.
+	until time.Time
+}
+
+// Enroller keeps the registrations. Exported fields are set before Run.
+type Enroller struct {
+	// Self is the registration of this entry.
+	Self *wire.Registration
+	// Store is the platform's key-value service.
+	Store platform.Store
+	// Changed is called after the registrations changed.
+	Changed func()
+	// Log receives events.
+	Log zerolog.Logger
+
+	mu       sync.Mutex
+	members  map[string]member
+	// reset is the end of the grace after the last full read.
+	reset    time.Time
+	revision int64
+	lease    int64
+	missing  bool
+	wake     chan struct{}
+	stopped  atomic.Bool
+}
+
+// Run keeps this entry registered until ctx ends.
+func (e *Enroller) Run(ctx context.Context) {
+	e.mu.Lock()
+	e.wake = make(chan struct{}, 1)
+	e.mu.Unlock()
+	for ctx.Err() == nil && !e.stopped.Load() {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		e.renew(call)
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-e.wake:
+		case <-time.After(renewInterval):
+		}
+	}
+}
+
+// renew keeps the lease alive and registers anew after it lapsed or the
+// registration was removed.
+func (e *Enroller) renew(ctx context.Context) {
+	e.mu.Lock()
+	lease, missing := e.lease, e.missing
+	e.mu.Unlock()
+	if lease != 0 && !missing {
+		alive, err := e.Store.KeepAlive(ctx, lease)
+		if err != nil || alive {
+			return
+		}
+	}
+	if err := e.register(ctx); err != nil {
+		e.Log.Warn().Err(err).Msg("registration_failed")
+	}
+}
+
+// register writes the registration under a fresh lease.
+func (e *Enroller) register(ctx context.Context) error {
+	lease, err := e.Store.Grant(ctx, leaseSeconds)
+	if err != nil {
+		return errors.Wrap(err, "lease")
+	}
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(e.Self)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	w := platform.Write{Key: e.key(), Value: data, Lease: lease, Unconditional: true}
+	if _, err := e.Store.Swap(ctx, w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	e.mu.Lock()
+	e.lease, e.missing = lease, false
+	e.mu.Unlock()
+	e.Log.Info().Str("incarnation", e.Self.GetIncarnation()).Msg("registered")
+	return nil
+}
+
+// Stop ends the renewals, before Leave.
+func (e *Enroller) Stop() { e.stopped.Store(true) }
+
+// Leave removes the registration, so that others take over the upstreams.
+func (e *Enroller) Leave(ctx context.Context) error {
+	_, err := e.Store.Swap(ctx, platform.Write{Key: e.key(), Unconditional: true, Delete: true})
+	return err
+}
+
+func (e *Enroller) key() string { return platform.EntryPrefix + e.Self.GetName() }
+
+// Apply takes registrations from the store.
+func (e *Enroller) Apply(u watcher.Update) {
+	e.mu.Lock()
+	now := time.Now()
+	if u.Reset {
+		e.suspect(now)
+	}
+	for _, v := range u.Events {
+		e.apply(v, now)
+	}
+	e.revision = max(e.revision, u.Revision)
+	self, there := e.members[e.Self.GetName()]
+	e.missing = e.lease != 0 && (!there || !self.until.IsZero() || self.GetIncarnation() != e.Self.GetIncarnation())
+	missing, wake := e.missing, e.wake
+	e.mu.Unlock()
+	if missing && wake != nil {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+	e.Changed()
+}
+
+// suspect lets every registration lapse after the grace unless it is there; the
+// caller holds the lock.
+func (e *Enroller) suspect(now time.Time) {
+	if e.members == nil {
+		e.members = make(map[string]member)
+		return
+	}
+	e.reset = now.Add(outageGrace)
+	for name, m := range e.members {
+		if m.until.IsZero() {
+			m.until = e.reset
+			e.members[name] = m
+		}
+	}
+	time.AfterFunc(outageGrace, func() { e.Changed() })
+}
+
+// apply takes one change; the caller holds the lock.
+func (e *Enroller) apply(v platform.Event, now time.Time) {
+	name := v.Key[len(platform.EntryPrefix):]
+	e.revision = max(e.revision, v.Revision)
+	if v.Deleted {
+		if m, ok := e.members[name]; ok && now.Before(e.reset) {
+			m.until = e.reset
+			e.members[name] = m
+		} else {
+			delete(e.members, name)
+		}
+		e.Log.Info().Str("entry", name).Int64("revision", v.Revision).Msg("member_left")
+		return
+	}
+	g := &wire.Registration{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(v.Value, g); err != nil {
+		e.Log.Error().Str("key", v.Key).Err(err).Msg("registration_unreadable")
+		return
+	}
+	e.members[name] = member{Registration: g}
+	e.Log.Info().Str("entry", name).Int64("revision", v.Revision).Msg("member_joined")
+}
+
+// Members returns the registered entries by name, and the revision of the store
+// at which they were registered.
+func (e *Enroller) Members() ([]*wire.Registration, int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*wire.Registration, 0, len(e.members))
+	now := time.Now()
+	for name, m := range e.members {
+		if !m.until.IsZero() && !now.Before(m.until) {
+			delete(e.members, name)
+			continue
+		}
+		out = append(out, m.Registration)
+	}
+	slices.SortFunc(out, func(a, b *wire.Registration) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return out, e.revision
+}
--- /dev/null
+++ b/lib/messenger/messenger.go
@@ -0,0 +1,164 @@
+// Package messenger carries frames between entries over TCP.
+//
+// Each entry dials each peer once and only writes to that connection; what the
+// peer sends comes over the connection that the peer dialled. Messages that are
+// queued at the same time travel in one frame. A peer is up while both
+// directions work; frames or heartbeats are due every heartbeatInterval, so a
+// connection that went silent is noticed within silenceLimit. What was queued
+// when a connection broke is dropped, and Handler.Down and Handler.Up say so.
+//
+// # Usage
+//
+//	m := &messenger.Messenger{Name: "entry-1", Address: "127.0.0.1:7100", Handler: h, Log: log}
+//	err := m.Listen()
+//	go m.Run(ctx)
+//	m.Connect(map[string]string{"entry-2": "127.0.0.1:7101"})
+//	m.Send("entry-2", func(f *wire.PeerFrame) { f.Ends = append(f.Ends, e) })
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// heartbeatInterval is the longest time between two frames.
+	heartbeatInterval = 100 * time.Millisecond
+	// silenceLimit is the time without a frame after which a peer is down; a
+	// slow VM misses three heartbeats and is not down yet.
+	silenceLimit = 450 * time.Millisecond
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 300 * time.Millisecond
+	// redialInterval is the pause before a connection is tried again.
+	redialInterval = 100 * time.Millisecond
+	// stateDelay gathers changes of state; requests and ends are not delayed.
+	stateDelay = 3 * time.Millisecond
+	// maxFrameBytes bounds one frame.
+	maxFrameBytes = 8 << 20
+)
+
+// Handler takes what peers send. Calls for one peer come one at a time.
+type Handler interface {
+	// Up tells that a peer can be reached in both directions. The session
+	// counts the connections to it.
+	Up(peer string, session uint64)
+	// Down tells that a peer can no longer be reached.
+	Down(peer string)
+	// Frame takes one frame.
+	Frame(peer string, f *wire.PeerFrame)
+	// Complete fills in what depends on the time of sending: states of the
+	// upstreams named, or of all when the frame is whole.
+	Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool)
+}
+
+// Messenger connects this entry to its peers. Exported fields are set before
+// Run.
+type Messenger struct {
+	// Name and Incarnation identify this process.
+	Name        string
+	Incarnation string
+	// Address is the IP number and port to listen on.
+	Address string
+	Handler Handler
+	// Log receives events.
+	Log zerolog.Logger
+
+	listener net.Listener
+	mu       sync.Mutex
+	peers    map[string]*peer
+	incoming map[string]*incoming
+	ctx      context.Context
+}
+
+// Listen binds the address.
+func (m *Messenger) Listen() error {
+	l, err := net.Listen("tcp", m.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	m.listener = l
+	return nil
+}
+
+// Run takes connections until ctx ends.
+func (m *Messenger) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	if m.incoming == nil {
+		m.incoming = make(map[string]*incoming)
+	}
+	m.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = m.listener.Close() })
+	defer stop()
+	for {
+		c, err := m.listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			m.Log.Warn().Err(err).Msg("accept_failed")
+			time.Sleep(redialInterval)
+			continue
+		}
+		go m.receive(ctx, c)
+	}
+}
+
+// Connect replaces the set of peers, by name and address. It is called after
+// Run began.
+func (m *Messenger) Connect(ctx context.Context, addresses map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil {
+		m.peers = make(map[string]*peer)
+	}
+	for name, p := range m.peers {
+		if addresses[name] != p.address {
+			p.cancel()
+			delete(m.peers, name)
+		}
+	}
+	for name, address := range addresses {
+		if m.peers[name] != nil || name == m.Name {
+			continue
+		}
+		p := &peer{messenger: m, name: name, address: address, wake: make(chan struct{}, 1)}
+		p.in = m.incoming[name] != nil
+		ctx, cancel := context.WithCancel(ctx)
+		p.cancel = cancel
+		m.peers[name] = p
+		go p.run(ctx)
+	}
+}
+
+// Send queues messages for a peer; it reports false when the peer is down.
+func (m *Messenger) Send(name string, add func(f *wire.PeerFrame)) bool {
+	p := m.peer(name)
+	return p != nil && p.send(add)
+}
+
+// Publish announces that the state of an upstream changed.
+func (m *Messenger) Publish(upstream string) {
+	m.mu.Lock()
+	list := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		list = append(list, p)
+	}
+	m.mu.Unlock()
+	for _, p := range list {
+		p.publish(upstream)
+	}
+}
+
+func (m *Messenger) peer(name string) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peers[name]
+}
--- /dev/null
+++ b/lib/packer/packer.go
@@ -0,0 +1,107 @@
+// Package packer chooses the upstreams on which the tasks of a job start.
+//
+// It knows amounts of processor, memory and accelerators, and nothing of
+// queues, networks or time, so that every choice can be tested by itself.
+//
+// # Usage
+//
+//	chosen := packer.Pack(tasks, need, candidates)
+//	if len(chosen) == tasks { start(chosen) }
+package packer
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Amount is what a task needs or an upstream has.
+type Amount struct {
+	// CPU is in thousandths of a core.
+	CPU int64
+	// Memory is in megabytes.
+	Memory int64
+	// GPU is a number of accelerators.
+	GPU int64
+}
+
+// Plus returns the sum of a and b.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{a.CPU + b.CPU, a.Memory + b.Memory, a.GPU + b.GPU}
+}
+
+// Minus returns a without b; it may be negative.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{a.CPU - b.CPU, a.Memory - b.Memory, a.GPU - b.GPU}
+}
+
+// Holds reports whether b fits into a.
+func (a Amount) Holds(b Amount) bool {
+	return a.CPU >= b.CPU && a.Memory >= b.Memory && a.GPU >= b.GPU
+}
+
+// Copies returns how many times b fits into a, at most limit.
+func (a Amount) Copies(b Amount, limit int) int {
+	n := int64(limit)
+	for _, p := range [...][2]int64{{a.CPU, b.CPU}, {a.Memory, b.Memory}, {a.GPU, b.GPU}} {
+		if p[1] > 0 {
+			n = min(n, max(p[0], 0)/p[1])
+		}
+	}
+	return int(n)
+}
+
+// Candidate is an upstream on which tasks may start.
+type Candidate struct {
+	// Name identifies the upstream.
+	Name string
+	// Free is what runs there now leave.
+	Free Amount
+	// Slowness is the run time there over that on an average upstream.
+	Slowness float64
+	// Near is true in the caller's failure domain.
+	Near bool
+}
+
+// slownessStep is the width of the classes within which upstreams count as
+// equally fast; half of the spread of run times within one job.
+const slownessStep = 0.15
+
+// class returns the speed class of a candidate.
+func (c Candidate) class() int { return int(c.Slowness / slownessStep) }
+
+// Pack returns the names of up to n upstreams, one for each task that needs
+// the given amount; an upstream may be named several times. Fast upstreams come
+// first, then near ones, then those that are left with the least room. The
+// candidates are reordered.
+func Pack(n int, need Amount, candidates []Candidate) []string {
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.class(), b.class()), cmp.Compare(order(a), order(b)),
+			cmp.Compare(leftover(a, need), leftover(b, need)), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]string, 0, n)
+	for _, c := range candidates {
+		for range c.Free.Copies(need, n-len(out)) {
+			out = append(out, c.Name)
+		}
+		if len(out) == n {
+			break
+		}
+	}
+	return out
+}
+
+// order puts near candidates before the others.
+func order(c Candidate) int {
+	if c.Near {
+		return 0
+	}
+	return 1
+}
+
+// leftover is the processor share that stays unused beside whole copies.
+func leftover(c Candidate, need Amount) int64 {
+	if need.CPU <= 0 {
+		return c.Free.CPU
+	}
+	return c.Free.CPU % need.CPU
+}
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -34,6 +34,8 @@
 	run               *prometheus.HistogramVec
 	response          *prometheus.HistogramVec
 	refusedHandshakes prometheus.Counter
+	jobs              *prometheus.CounterVec
+	answer            *prometheus.HistogramVec
 }
 
 // New registers the metrics.
@@ -56,12 +58,22 @@
 		wait:     histogram("queue_wait_seconds", "Time that tasks waited for a slot."),
 		run:      histogram("upstream_seconds", "Time that upstreams took for a task."),
 		response: histogram("response_seconds", "Time from a submission to its answer."),
+		jobs: counter("jobs_total", "Jobs by outcome.", "kind", "state", "reason"),
+		answer: f.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "answer_seconds", Help: "Time from a submission to its answer.", Buckets: runBuckets,
+		}, []string{"kind"}),
 		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
 		}),
 	}
 }
 
+// Job counts one job by its outcome and observes the time to its answer.
+func (r *Recorder) Job(kind, state, reason string, total time.Duration) {
+	r.jobs.WithLabelValues(kind, state, reason).Inc()
+	r.answer.WithLabelValues(kind).Observe(total.Seconds())
+}
+
 // Message counts one message to an upstream of the given kind.
 func (r *Recorder) Message(service, tenant, kind string) {
 	r.messages.WithLabelValues(service, tenant, kind).Inc()
--- /dev/null
+++ b/lib/router/router.go
@@ -0,0 +1,126 @@
+// Package router holds the configuration of queues and finds the queue of a
+// request.
+//
+// # Usage
+//
+//	r := &router.Router{Log: log}
+//	r.Apply(table)
+//	queue, ok := r.Find("claims.example", "/status/5c0e7a21d94b36f8")
+//
+// A table of a lower version than the one in force is never taken.
+package router
+
+import (
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Queue is one kind of request.
+type Queue struct {
+	// Name identifies the queue in logs.
+	Name string
+	// Host and Prefix select the queue: the host and the longest prefix of the
+	// path.
+	Host   string
+	Prefix string
+	// Service names the upstreams that run its tasks.
+	Service string
+	// Timeout bounds the time to an answer; 0 for none.
+	Timeout time.Duration
+	// Target is the part of the time to an answer that does not depend on the
+	// work.
+	Target time.Duration
+	// Stretch is how many times its run time a job may take.
+	Stretch float64
+	// Priority is 0 for the most urgent queues.
+	Priority int
+	// MaxFailures is the number of failed runs of a task that fail its job.
+	MaxFailures int
+}
+
+// Service is a pool of upstreams.
+type Service struct {
+	Name string
+	// Connections bounds the connections to one upstream from all entries.
+	Connections int
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	// MaxBodyBytes bounds the body of a request; 0 for no bound.
+	MaxBodyBytes int64
+}
+
+// Router holds the table in force. Exported fields are set before Apply.
+type Router struct {
+	// Log receives events.
+	Log zerolog.Logger
+
+	table atomic.Pointer[index]
+}
+
+// index is a table with its queues by host.
+type index struct {
+	Table
+	hosts map[string][]Queue
+	taken time.Time
+}
+
+// Apply puts a table in force if its version is higher than that in force.
+func (r *Router) Apply(t Table) bool {
+	n := &index{Table: t, hosts: make(map[string][]Queue), taken: time.Now()}
+	for _, q := range t.Queues {
+		n.hosts[q.Host] = append(n.hosts[q.Host], q)
+	}
+	for {
+		old := r.table.Load()
+		if old != nil && old.Version >= t.Version {
+			return false
+		}
+		if r.table.CompareAndSwap(old, n) {
+			r.Log.Info().Int64("version", t.Version).Int("queues", len(t.Queues)).Msg("configuration_in_force")
+			return true
+		}
+	}
+}
+
+// Table returns the table in force; false if there is none.
+func (r *Router) Table() (Table, bool) {
+	t := r.table.Load()
+	if t == nil {
+		return Table{}, false
+	}
+	return t.Table, true
+}
+
+// Find returns the queue of a request and the rest of the path after the
+// queue's prefix.
+func (r *Router) Find(host, path string) (q Queue, rest string, ok bool) {
+	t := r.table.Load()
+	if t == nil {
+		return Queue{}, "", false
+	}
+	for _, c := range t.hosts[host] {
+		if strings.HasPrefix(path, c.Prefix) && (!ok || len(c.Prefix) > len(q.Prefix)) {
+			q, rest, ok = c, path[len(c.Prefix):], true
+		}
+	}
+	return q, rest, ok
+}
+
+// Service returns a service of the table in force.
+func (r *Router) Service(name string) (Service, bool) {
+	t, _ := r.Table()
+	for _, s := range t.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/lib/runner/health.go
@@ -0,0 +1,140 @@
+package runner
+
+import (
+	"strings"
+	"time"
+
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// slownessWeight is the weight of one run in the learned slowness.
+	slownessWeight = 0.1
+	// slownessFloor and slownessCeiling bound one run's part in it.
+	slownessFloor   = 0.1
+	slownessCeiling = 8.0
+	// failuresToEject is the number of failures in a row, of two jobs at least,
+	// after which an upstream gets no new runs for a while.
+	failuresToEject = 3
+	// silencesToEject is the same for orders without an answer.
+	silencesToEject = 2
+	// firstEjection and lastEjection bound the time without new runs.
+	firstEjection = 500 * time.Millisecond
+	lastEjection  = 8 * time.Second
+	// stallFactor is how many times the expected run time a run may take before
+	// its progress is checked.
+	stallFactor = 2.5
+	// stallFloor is the shortest time before that check.
+	stallFloor = 200 * time.Millisecond
+	// fullPercent is the progress of a run that is done.
+	fullPercent = 100
+)
+
+// health is what the owner learned of an upstream.
+type health struct {
+	slowness float64
+	failures int
+	// failing is the job of the last failure, several whether others failed too.
+	failing  string
+	several  bool
+	silences int
+	// ejected is the end of the time without new runs.
+	ejected time.Time
+	// ejection is the length of the next such time.
+	ejection time.Duration
+	// probing is true until a run succeeds after an ejection.
+	probing bool
+}
+
+func newHealth() health { return health{slowness: 1, ejection: firstEjection} }
+
+// admits reports whether new runs may be sent beside n others. After an
+// ejection a single run probes the upstream.
+func (h *health) admits(now time.Time, n int) bool {
+	if now.Before(h.ejected) {
+		return false
+	}
+	return !h.probing || n == 0
+}
+
+// answered takes any answer to an order.
+func (h *health) answered() { h.silences = 0 }
+
+// silent takes an order without an answer.
+func (h *health) silent(now time.Time) {
+	h.silences++
+	if h.silences >= silencesToEject {
+		h.eject(now)
+	}
+}
+
+// refused takes a refusal.
+func (h *health) refused(why Reason, now time.Time) {
+	h.silences = 0
+	if why == Unhealthy {
+		h.eject(now)
+	}
+}
+
+// eject keeps new runs away for a time that doubles until a run succeeds.
+func (h *health) eject(now time.Time) {
+	if now.Before(h.ejected) {
+		return
+	}
+	h.ejected = now.Add(h.ejection)
+	h.ejection = min(2*h.ejection, lastEjection)
+	h.probing = true
+}
+
+// observe learns from the end of a run.
+func (h *health) observe(r *run, cause wire.RunEnd_Cause, now time.Time) {
+	switch cause {
+	case wire.RunEnd_done:
+		h.failures, h.several, h.probing, h.ejection = 0, false, false, firstEjection
+		if ms := r.request.GetExpectedMs(); ms > 0 {
+			ratio := float64(now.Sub(r.since).Microseconds()) / 1000 / ms
+			ratio = min(max(ratio, slownessFloor), slownessCeiling)
+			h.slowness += slownessWeight * (ratio - h.slowness)
+		}
+	case wire.RunEnd_failed:
+		job, _, _ := strings.Cut(r.request.GetTask(), ".")
+		h.several = h.several || (h.failures > 0 && h.failing != job)
+		h.failing = job
+		h.failures++
+		if (h.failures >= failuresToEject && h.several) || h.probing {
+			h.eject(now)
+		}
+	}
+}
+
+// slownessNow is the learned slowness, or more while runs are overdue.
+func (h *health) slownessNow(now time.Time, runs map[key]*run) float64 {
+	s := h.slowness
+	for _, r := range runs {
+		if ms := r.request.GetExpectedMs(); ms > 0 {
+			ratio := float64(now.Sub(r.since).Microseconds()) / 1000 / ms
+			if ratio > stallFactor*h.slowness {
+				s = max(s, min(ratio, slownessCeiling))
+			}
+		}
+	}
+	return s
+}
+
+// stalled reports whether a run makes too little progress to be waited for.
+func (h *health) stalled(r *run, percent float64, now time.Time) bool {
+	ms := r.request.GetExpectedMs()
+	if ms <= 0 {
+		return false
+	}
+	took := now.Sub(r.since)
+	expected := time.Duration(ms * h.slowness * float64(time.Millisecond))
+	if took < max(time.Duration(stallFactor*float64(expected)), stallFloor) {
+		return false
+	}
+	if percent > 0 && float64(took)*(fullPercent-percent)/percent < float64(expected) {
+		return false
+	}
+	h.eject(now)
+	return true
+}
--- /dev/null
+++ b/lib/runner/held.go
@@ -0,0 +1,332 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/wire"
+)
+
+// key identifies a run on one upstream.
+type key struct {
+	task string
+	run  uint64
+}
+
+// phase is the progress of a run.
+type phase int
+
+const (
+	// starting: the order is on its way.
+	starting phase = iota
+	// uncertain: the order got no answer and may be carried out later.
+	uncertain
+	// running: the upstream confirmed the start.
+	running
+)
+
+// run is one run on an owned upstream.
+type run struct {
+	request   *wire.RunRequest
+	requester string
+	amount    packer.Amount
+	phase     phase
+	// since is the time of the start.
+	since time.Time
+	// confirmed is the time at which the upstream confirmed the start.
+	confirmed time.Time
+	// orphaned is the deadline for a requester to attach.
+	orphaned time.Time
+	stopping bool
+	// stopped is the time at which the upstream confirmed a stop.
+	stopped time.Time
+}
+
+// end is a remembered end of a run, kept for a requester that lost its
+// connection or for the entry that takes over a job.
+type end struct {
+	cause wire.RunEnd_Cause
+	until time.Time
+}
+
+// held is one owned upstream.
+type held struct {
+	runner *Runner
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	upstream Upstream
+	token    int64
+	free     packer.Amount
+	runs     map[key]*run
+	ends     map[key]end
+	observed uint64
+	// unconfirmed is true while the upstream lists ends up to observed.
+	unconfirmed bool
+	// open is true once the upstream told what runs there.
+	open     bool
+	released bool
+	// refusedToken is the token that the upstream refused as too low.
+	refusedToken int64
+	clock    int64
+	clockAt  time.Time
+	// leased is the time at which everything there is certainly over unless
+	// another order renews the lease.
+	leased time.Time
+	health
+}
+
+func newHeld(r *Runner, u Upstream, token int64) *held {
+	return &held{
+		runner: r, wake: make(chan struct{}, 1), upstream: u, token: token, free: u.Capacity,
+		runs: make(map[key]*run), ends: make(map[key]end), health: newHealth(),
+	}
+}
+
+// update takes what the platform says anew.
+func (h *held) update(u Upstream) {
+	h.mu.Lock()
+	old := h.upstream
+	h.upstream = u
+	h.free = h.free.Plus(u.Capacity).Minus(old.Capacity)
+	h.mu.Unlock()
+	h.signal()
+	if old != u {
+		h.runner.Changed(u.Name)
+	}
+}
+
+// release ends the ownership. What runs there is left to the next owner.
+func (h *held) release() {
+	h.mu.Lock()
+	h.released = true
+	h.mu.Unlock()
+	h.signal()
+}
+
+// signal wakes the loop.
+func (h *held) signal() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// state describes the upstream.
+func (h *held) state() *wire.UpstreamState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	return &wire.UpstreamState{
+		Upstream: h.upstream.Name, Free: MessageOf(h.free), Slowness: h.slownessNow(now, h.runs), Usable: h.usable(now),
+	}
+}
+
+// usable reports whether new runs may be sent; the caller holds the lock.
+func (h *held) usable(now time.Time) bool {
+	return h.open && !h.released && !h.upstream.Leaving && h.admits(now, len(h.runs)) && !h.orphans()
+}
+
+// orphans reports whether runs of unknown amount are there; the caller holds
+// the lock.
+func (h *held) orphans() bool {
+	for _, r := range h.runs {
+		if r.requester == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *held) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.runs)
+}
+
+// start orders a run if it fits.
+func (h *held) start(ctx context.Context, requester string, q *wire.RunRequest) {
+	k := key{q.GetTask(), q.GetRun()}
+	amount := AmountOf(q.GetAmount())
+	h.mu.Lock()
+	cause := h.refusal(k, amount)
+	if cause != 0 {
+		h.mu.Unlock()
+		h.runner.end(requester, q, cause)
+		return
+	}
+	now := time.Now()
+	h.runs[k] = &run{request: q, requester: requester, amount: amount, since: now}
+	h.free = h.free.Minus(amount)
+	o := Order{Task: k.task, Run: k.run, Spec: q.GetSpec(), Token: h.token, Expires: h.lease(now)}
+	u := h.upstream
+	h.mu.Unlock()
+	h.runner.Changed(u.Name)
+	h.signal()
+	go h.order(ctx, u, k, o)
+}
+
+// refusal returns why a run cannot start, 0 if it can; the caller holds the
+// lock.
+func (h *held) refusal(k key, amount packer.Amount) wire.RunEnd_Cause {
+	switch {
+	case !h.usable(time.Now()):
+		return wire.RunEnd_refused
+	case h.runs[k] != nil:
+		return wire.RunEnd_superseded
+	case !h.free.Holds(amount):
+		return wire.RunEnd_no_room
+	}
+	return 0
+}
+
+// lease returns the end of a lease that begins now, on the upstream's clock;
+// the caller holds the lock.
+func (h *held) lease(now time.Time) int64 {
+	until := now.Add(LeaseTime + clockError)
+	if until.After(h.leased) {
+		h.leased = until
+	}
+	return h.clock + now.Sub(h.clockAt).Milliseconds() + LeaseTime.Milliseconds()
+}
+
+// order sends a start and takes its answer.
+func (h *held) order(ctx context.Context, u Upstream, k key, o Order) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rep, err := h.runner.Client.Start(ctx, u, o)
+	why := reason(err)
+	if err != nil {
+		h.runner.Log.Debug().Str("task", k.task).Str("upstream", u.Name).Err(err).Msg("start_failed")
+	}
+	h.mu.Lock()
+	r := h.runs[k]
+	if err == nil {
+		h.heard(rep.Clock)
+		h.answered()
+	}
+	switch {
+	case r == nil || h.released:
+	case err == nil:
+		if r.phase != running {
+			r.phase, r.confirmed = running, time.Now()
+		}
+	case why == 0:
+		r.phase = uncertain
+		h.silent(time.Now())
+	default:
+		h.refused(why, time.Now())
+		if why == Fenced {
+			h.fenced()
+		}
+		h.finish(k, causeOf(why))
+	}
+	h.mu.Unlock()
+	h.signal()
+}
+
+// causeOf returns the end of a run whose start was refused.
+func causeOf(why Reason) wire.RunEnd_Cause {
+	switch why {
+	case NoRoom:
+		return wire.RunEnd_no_room
+	case Superseded:
+		return wire.RunEnd_superseded
+	}
+	return wire.RunEnd_refused
+}
+
+// finish removes a run and tells its requester; the caller holds the lock.
+func (h *held) finish(k key, cause wire.RunEnd_Cause) {
+	r := h.runs[k]
+	delete(h.runs, k)
+	h.free = h.free.Plus(r.amount)
+	h.ends[k] = end{cause, time.Now().Add(endMemory)}
+	if r.requester != "" {
+		// The requester may call back into this upstream.
+		go h.runner.end(r.requester, r.request, cause)
+	}
+	go h.runner.Changed(h.upstream.Name)
+}
+
+// attach names the requester of a run that is there already.
+func (h *held) attach(requester string, q *wire.RunRequest) {
+	k := key{q.GetTask(), q.GetRun()}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := h.runs[k]; r != nil {
+		h.free = h.free.Plus(r.amount)
+		r.requester, r.request, r.amount = requester, q, AmountOf(q.GetAmount())
+		h.free = h.free.Minus(r.amount)
+		return
+	}
+	if e, ok := h.ends[k]; ok {
+		go h.runner.end(requester, q, e.cause)
+		return
+	}
+	if h.open {
+		go h.runner.end(requester, q, wire.RunEnd_lost)
+		return
+	}
+	h.runs[k] = &run{request: q, requester: requester, amount: AmountOf(q.GetAmount()), phase: uncertain, since: time.Now()}
+	h.free = h.free.Minus(AmountOf(q.GetAmount()))
+}
+
+// cancel stops a run.
+func (h *held) cancel(ctx context.Context, k key) {
+	h.mu.Lock()
+	r := h.runs[k]
+	if r == nil || r.stopping {
+		h.mu.Unlock()
+		return
+	}
+	r.stopping = true
+	u, o := h.upstream, Order{Task: k.task, Run: k.run, Token: h.token}
+	h.mu.Unlock()
+	go h.stop(ctx, u, k, o)
+}
+
+// stop sends a stop until it is answered or the run is over.
+func (h *held) stop(ctx context.Context, u Upstream, k key, o Order) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := h.runner.Client.Stop(call, u, o)
+		cancel()
+		h.mu.Lock()
+		r := h.runs[k]
+		if r == nil || h.released || err == nil || reason(err) != 0 {
+			if r != nil && err == nil {
+				r.stopped = time.Now()
+			}
+			h.mu.Unlock()
+			h.signal()
+			return
+		}
+		h.mu.Unlock()
+		time.Sleep(retryInterval)
+	}
+}
+
+// abandon stops the runs of one requester.
+func (h *held) abandon(ctx context.Context, requester string) {
+	h.mu.Lock()
+	var list []key
+	for k, r := range h.runs {
+		if r.requester == requester {
+			list = append(list, k)
+		}
+	}
+	h.mu.Unlock()
+	for _, k := range list {
+		h.cancel(ctx, k)
+	}
+}
+
+// heard takes the upstream's clock; the caller holds the lock.
+func (h *held) heard(clock int64) {
+	if clock != 0 {
+		h.clock, h.clockAt = clock, time.Now()
+	}
+}
--- /dev/null
+++ b/lib/runner/runner.go
@@ -0,0 +1,186 @@
+// Package runner keeps the runs on the upstreams that this entry owns.
+//
+// An upstream has one owner at a time. The owner holds the lease of everything
+// that runs there, starts and stops runs for any entry, and tells each of them
+// how its runs ended. A fencing token, which rises with each change of owner,
+// makes the upstream refuse an owner that was replaced.
+//
+// # Usage
+//
+//	r := &runner.Runner{Client: client, Ended: send, Changed: publish, Log: log}
+//	r.Own(ctx, token, upstreams)
+//	r.Request("entry-2", request)
+//
+// A new owner first asks the upstream what runs there. Runs that no entry asks
+// for within orphanGrace are stopped.
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// LeaseTime is the life of a lease on runs; the longest that upstreams grant.
+	LeaseTime = time.Second
+	// lookWait is how long a look waits for an end; two looks fit into a lease.
+	lookWait = 400 * time.Millisecond
+	// callTimeout bounds an order, a hundred times its usual round trip.
+	callTimeout = 200 * time.Millisecond
+	// retryInterval is the pause after a failed look.
+	retryInterval = 30 * time.Millisecond
+	// clockError covers upstream clocks that are 2% slow, and time on the way.
+	clockError = 60 * time.Millisecond
+	// orphanGrace is how long a run without a requester is kept.
+	orphanGrace = 300 * time.Millisecond
+	// endMemory is how long an end without a requester is kept.
+	endMemory = 2 * time.Second
+)
+
+// Runner owns upstreams. Exported fields are set before the first call.
+type Runner struct {
+	// Client sends orders.
+	Client Client
+	// Ended tells the requester how a run ended.
+	Ended func(requester string, e *wire.RunEnd)
+	// Changed is called after the state of an upstream changed.
+	Changed func(upstream string)
+	// Log receives events.
+	Log zerolog.Logger
+
+	mu    sync.RWMutex
+	held  map[string]*held
+	token int64
+}
+
+// Own replaces the set of owned upstreams. The token is the revision of the
+// registrations from which ownership follows.
+func (r *Runner) Own(ctx context.Context, token int64, list []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held == nil {
+		r.held = make(map[string]*held)
+	}
+	r.token = max(r.token, token)
+	keep := make(map[string]bool, len(list))
+	for _, u := range list {
+		keep[u.Name] = true
+		if h := r.held[u.Name]; h != nil {
+			h.update(u)
+			continue
+		}
+		h := newHeld(r, u, r.token)
+		r.held[u.Name] = h
+		go h.loop(ctx)
+	}
+	for name, h := range r.held {
+		if !keep[name] {
+			h.release()
+			delete(r.held, name)
+		}
+	}
+}
+
+// Request starts a run for a requester, or attaches the requester to a run
+// that was started before. The end is always told, also of a run that did not
+// start.
+func (r *Runner) Request(ctx context.Context, requester string, q *wire.RunRequest) {
+	h := r.find(q.GetUpstream())
+	if h == nil {
+		r.end(requester, q, wire.RunEnd_refused)
+		return
+	}
+	if q.GetAttach() {
+		h.attach(requester, q)
+		return
+	}
+	h.start(ctx, requester, q)
+}
+
+// Cancel stops a run.
+func (r *Runner) Cancel(ctx context.Context, c *wire.RunCancel) {
+	if h := r.find(c.GetUpstream()); h != nil {
+		h.cancel(ctx, key{c.GetTask(), c.GetRun()})
+	}
+}
+
+// Abandon stops all runs of a requester that cannot be reached.
+func (r *Runner) Abandon(ctx context.Context, requester string) {
+	for _, h := range r.all() {
+		h.abandon(ctx, requester)
+	}
+}
+
+// States describes all owned upstreams.
+func (r *Runner) States() []*wire.UpstreamState {
+	list := r.all()
+	out := make([]*wire.UpstreamState, 0, len(list))
+	for _, h := range list {
+		out = append(out, h.state())
+	}
+	return out
+}
+
+// State describes one upstream, nil if it is not owned.
+func (r *Runner) State(name string) *wire.UpstreamState {
+	if h := r.find(name); h != nil {
+		return h.state()
+	}
+	return nil
+}
+
+// Running returns the number of runs on all owned upstreams.
+func (r *Runner) Running() int {
+	n := 0
+	for _, h := range r.all() {
+		n += h.count()
+	}
+	return n
+}
+
+func (r *Runner) find(name string) *held {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.held[name]
+}
+
+func (r *Runner) all() []*held {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*held, 0, len(r.held))
+	for _, h := range r.held {
+		out = append(out, h)
+	}
+	return out
+}
+
+// newest returns the highest token that this entry may use.
+func (r *Runner) newest() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.token
+}
+
+// end tells a requester the end of a run.
+func (r *Runner) end(requester string, q *wire.RunRequest, cause wire.RunEnd_Cause) {
+	if requester == "" {
+		return
+	}
+	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause})
+}
+
+// AmountOf converts an amount from its message.
+func AmountOf(a *wire.Amount) packer.Amount {
+	return packer.Amount{CPU: a.GetCpu(), Memory: a.GetMemory(), GPU: a.GetGpu()}
+}
+
+// MessageOf converts an amount to its message.
+func MessageOf(a packer.Amount) *wire.Amount {
+	return &wire.Amount{Cpu: a.CPU, Memory: a.Memory, Gpu: a.GPU}
+}
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -16,6 +16,7 @@
 package watcher
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"strings"
@@ -42,6 +43,8 @@
 	Reset bool
 	// Regressed is true when the store's revision went back.
 	Regressed bool
+	// Revision is the store's revision after the changes.
+	Revision int64
 	// Events are the changes, oldest first.
 	Events []platform.Event
 }
@@ -57,6 +60,12 @@
 	Store platform.Store
 	// Prefix is the common prefix of all subscriptions.
 	Prefix string
+	// Pace is the time that changes are gathered for before the next batch is
+	// asked for; 0 takes each at once.
+	Pace time.Duration
+	// LongestBackoff is the longest mean wait between reconnects; 0 takes
+	// lastBackoff.
+	LongestBackoff time.Duration
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -88,7 +97,7 @@
 		if !sleep(ctx, Jitter(backoff)) {
 			return
 		}
-		backoff = min(2*backoff, lastBackoff)
+		backoff = min(2*backoff, cmp.Or(w.LongestBackoff, lastBackoff))
 	}
 }
 
@@ -104,7 +113,10 @@
 	up()
 	return w.Store.Watch(ctx, w.Prefix, s.Revision+1, func(batch []platform.Event, revision int64) {
 		w.touch(revision)
-		w.publish(batch)
+		w.publish(batch, revision)
+		if len(batch) > 0 && w.Pace > 0 {
+			sleep(ctx, w.Pace)
+		}
 	})
 }
 
@@ -123,15 +135,15 @@
 		events = append(events, platform.Event{KeyValue: kv})
 	}
 	for _, sub := range w.subscriptions {
-		sub.apply(Update{Reset: true, Regressed: regressed, Events: below(sub.prefix, events)})
+		sub.apply(Update{Reset: true, Regressed: regressed, Revision: s.Revision, Events: below(sub.prefix, events)})
 	}
 }
 
 // publish hands a batch to the subscribers that it concerns.
-func (w *Watcher) publish(batch []platform.Event) {
+func (w *Watcher) publish(batch []platform.Event, revision int64) {
 	for _, sub := range w.subscriptions {
 		if events := below(sub.prefix, batch); len(events) > 0 {
-			sub.apply(Update{Events: events})
+			sub.apply(Update{Revision: revision, Events: events})
 		}
 	}
 }
--- /dev/null
+++ b/radishweir/internal/composer/composer.go
@@ -0,0 +1,213 @@
+// Package composer builds an entry for a platform whose upstreams run tasks
+// under leases, and runs it.
+//
+// # Usage
+//
+//	e, err := composer.New(settings, log)
+//	err = e.Run(ctx, signals)
+package composer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/enroller"
+	"radishweir.org/lib/messenger"
+	"radishweir.org/lib/operator"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/recorder"
+	"radishweir.org/lib/roster"
+	"radishweir.org/lib/router"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/watcher"
+	"radishweir.org/lib/wire"
+	adapter "radishweir.org/platform"
+)
+
+const (
+	// upstreamPace gathers the registrations of upstreams; it is well under the
+	// time within which a leaving upstream must get its last run.
+	upstreamPace = 400 * time.Millisecond
+	// longestBackoff keeps the time to notice the store's return short.
+	longestBackoff = 400 * time.Millisecond
+	// headerTimeout bounds the time that a client takes for its headers.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes client connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
+	// abandonGrace is how long the runs of a silent peer go on.
+	abandonGrace = 400 * time.Millisecond
+)
+
+// Entry is one entry daemon with all its parts.
+type Entry struct {
+	*Settings
+	Log zerolog.Logger
+
+	self        *wire.Registration
+	registry    *prometheus.Registry
+	store       *adapter.Client
+	router      *router.Router
+	enroller    *enroller.Enroller
+	roster      *roster.Roster
+	runner      *runner.Runner
+	coordinator *coordinator.Coordinator
+	messenger   *messenger.Messenger
+	watchers    []*watcher.Watcher
+	callers     *http.Server
+	readiness   *http.Server
+	operators   *operator.Server
+
+	ctx      context.Context
+	divides  sync.Mutex
+	draining atomic.Bool
+	closing  atomic.Bool
+	down     sync.Map
+}
+
+// New builds an entry and binds its sockets.
+func New(s *Settings, log zerolog.Logger) (*Entry, error) {
+	e := &Entry{Settings: s, Log: log.With().Str("entry", s.Name).Logger()}
+	started := time.Now()
+	e.self = &wire.Registration{
+		Name: s.Name, Incarnation: fmt.Sprintf("%x-%x-%08x", started.UnixNano(), os.Getpid(), rand.Uint32()),
+		FailureDomain: s.FailureDomain, EntryAddress: s.EntryAddress, OperatorAddress: s.OperatorAddress,
+		Weight: uint32(s.Weight), StartedAt: timestamppb.New(started),
+	}
+	e.registry = prometheus.NewRegistry()
+	e.registry.MustRegister(collectors.NewGoCollector())
+	rec := recorder.New(e.registry)
+	e.store = adapter.NewClient(s.PlatformAddress, rec)
+	e.router = &router.Router{Log: e.Log}
+	e.buildWork(rec)
+	e.buildMembership()
+	e.buildServers()
+	return e, e.messenger.Listen()
+}
+
+// buildWork builds the parts that run jobs.
+func (e *Entry) buildWork(rec *recorder.Recorder) {
+	e.runner = &runner.Runner{Client: &adapter.Upstreams{}, Ended: e.ended, Changed: e.changed, Log: e.Log}
+	e.messenger = &messenger.Messenger{
+		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
+	}
+	e.coordinator = &coordinator.Coordinator{
+		Self: e.Name, Domain: e.FailureDomain, Local: e.runner, Remote: e.messenger, Observer: rec, Log: e.Log,
+	}
+}
+
+// buildMembership builds the parts that follow the store.
+func (e *Entry) buildMembership() {
+	e.enroller = &enroller.Enroller{Self: e.self, Store: e.store, Changed: e.divide, Log: e.Log}
+	e.roster = &roster.Roster{Decode: adapter.DecodeUpstream, Changed: e.divide, Log: e.Log}
+	follow := func(prefix string, pace time.Duration, apply func(watcher.Update)) {
+		w := &watcher.Watcher{Store: e.store, Prefix: prefix, Pace: pace, LongestBackoff: longestBackoff, Log: e.Log}
+		w.On(prefix, apply)
+		e.watchers = append(e.watchers, w)
+	}
+	follow(platform.EntryPrefix, 0, e.enroller.Apply)
+	follow(adapter.ConfigurationKey, 0, e.configure)
+	follow(adapter.UpstreamPrefix, upstreamPace, e.roster.Apply)
+}
+
+// buildServers builds the servers for callers, the balancer and operators.
+func (e *Entry) buildServers() {
+	e.callers = &http.Server{
+		Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: &adapter.Callers{Router: e.router, Jobs: e.coordinator, Closing: e.draining.Load, Log: e.Log},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	e.readiness = &http.Server{Addr: e.ReadinessAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: mux}
+	e.operators = &operator.Server{Address: e.OperatorAddress, Gatherer: e.registry, Ready: e.ready, Status: e.status}
+}
+
+// ready reports whether new connections are welcome.
+func (e *Entry) ready() bool {
+	_, ok := e.router.Table()
+	return ok && !e.draining.Load() && len(e.roster.Upstreams()) > 0
+}
+
+// configure takes the operators' configuration from the store.
+func (e *Entry) configure(u watcher.Update) {
+	for _, v := range u.Events {
+		if v.Deleted || v.Key != adapter.ConfigurationKey {
+			continue
+		}
+		t, err := adapter.DecodeConfiguration(v.Value)
+		if err != nil {
+			e.Log.Error().Err(err).Msg("configuration_unreadable")
+			continue
+		}
+		if e.router.Apply(t) {
+			e.divide()
+		}
+	}
+}
+
+// status describes the entry to operators.
+func (e *Entry) status() operator.Status {
+	open, _ := e.coordinator.Counts()
+	return operator.Status{
+		Name: e.Name, Incarnation: e.self.GetIncarnation(), FailureDomain: e.FailureDomain, Ready: e.ready(),
+		Draining: e.draining.Load(), StartedAt: e.self.GetStartedAt().AsTime(),
+		PlatformConnected: e.watchers[0].Connected(), PlatformHeardAt: e.watchers[0].Heard(), OpenJobs: open,
+	}
+}
+
+// Run serves until the first signal, drains, and returns nil.
+func (e *Entry) Run(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.ctx = ctx
+	e.coordinator.Init(ctx)
+	failed := make(chan error, 4)
+	var work sync.WaitGroup
+	work.Go(func() { failed <- errors.Wrap(e.messenger.Run(ctx), "entries") })
+	for _, w := range e.watchers {
+		work.Go(func() { w.Run(ctx) })
+	}
+	work.Go(func() { e.enroller.Run(ctx) })
+	work.Go(func() { e.coordinator.Run(ctx) })
+	for _, s := range []*http.Server{e.callers, e.readiness} {
+		l, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		go func() { failed <- s.Serve(l) }()
+	}
+	if err := e.operators.Listen(); err != nil {
+		return err
+	}
+	work.Go(func() { failed <- e.operators.Run(ctx) })
+	e.Log.Info().Str("incarnation", e.self.GetIncarnation()).Str("callers", e.CallerAddress).Msg("started")
+	var err error
+	select {
+	case err = <-failed:
+	case sig := <-signals:
+		e.Log.Info().Str("signal", sig.String()).Msg("draining")
+		e.drain(ctx)
+	}
+	cancel()
+	e.Log.Info().Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/radishweir/internal/composer/drain.go
@@ -0,0 +1,38 @@
+package composer
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// leaveTimeout bounds the removal of the registration.
+	leaveTimeout = time.Second
+	// drainInterval is the time between two looks at what is still open.
+	drainInterval = 20 * time.Millisecond
+)
+
+// drain ends the entry's work in order: not ready, upstreams to other owners,
+// balancer wait, end of the open jobs.
+func (e *Entry) drain(ctx context.Context) {
+	e.draining.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, duration(e.DrainLimit))
+	defer cancel()
+	e.enroller.Stop()
+	leaving, done := context.WithTimeout(ctx, leaveTimeout)
+	if err := e.enroller.Leave(leaving); err != nil {
+		e.Log.Warn().Err(err).Msg("registration_not_removed")
+	}
+	done()
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration(e.BalancerWait)):
+	}
+	if err := e.callers.Shutdown(ctx); err != nil {
+		open, _ := e.coordinator.Counts()
+		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
+	}
+	for ctx.Err() == nil && e.runner.Running() > 0 {
+		time.Sleep(drainInterval)
+	}
+}
--- /dev/null
+++ b/radishweir/internal/composer/peers.go
@@ -0,0 +1,108 @@
+package composer
+
+import (
+	"time"
+
+	"radishweir.org/lib/divider"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+// divide works out anew who owns which upstream.
+func (e *Entry) divide() {
+	e.divides.Lock()
+	defer e.divides.Unlock()
+	registrations, token := e.enroller.Members()
+	var members []divider.Member
+	addresses := make(map[string]string)
+	for _, r := range registrations {
+		members = append(members, divider.Member{Name: r.GetName(), Domain: r.GetFailureDomain(), Weight: int(r.GetWeight())})
+		addresses[r.GetName()] = r.GetEntryAddress()
+	}
+	list := e.roster.Upstreams()
+	owners := make(map[string]string, len(list))
+	var own []runner.Upstream
+	for i := range list {
+		u := &list[i]
+		s, _ := e.router.Service(u.Service)
+		u.Connections = s.Connections
+		owner, ok := divider.Owner(u.Name, u.Domain, members)
+		if !ok {
+			continue
+		}
+		owners[u.Name] = owner
+		if owner == e.Name && !e.draining.Load() {
+			own = append(own, *u)
+		}
+	}
+	e.messenger.Connect(e.ctx, addresses)
+	e.runner.Own(e.ctx, token, own)
+	e.coordinator.Upstreams(list, owners)
+	e.coordinator.Update(e.Name, true, e.runner.States())
+}
+
+// changed tells everybody the new state of an upstream of this entry.
+func (e *Entry) changed(name string) {
+	if s := e.runner.State(name); s != nil {
+		e.coordinator.Update(e.Name, false, []*wire.UpstreamState{s})
+	}
+	e.messenger.Publish(name)
+}
+
+// ended tells the requester the end of a run.
+func (e *Entry) ended(requester string, end *wire.RunEnd) {
+	if requester == e.Name {
+		e.coordinator.Ended(end)
+		return
+	}
+	// A requester that is down asks again when it is back.
+	e.messenger.Send(requester, func(f *wire.PeerFrame) { f.Ends = append(f.Ends, end) })
+}
+
+// Up implements messenger.Handler.
+func (e *Entry) Up(peer string, session uint64) {
+	e.down.Delete(peer)
+	e.coordinator.Up(peer, session)
+}
+
+// Down implements messenger.Handler.
+func (e *Entry) Down(peer string) {
+	since := time.Now()
+	e.down.Store(peer, since)
+	e.coordinator.Down(peer)
+	time.AfterFunc(abandonGrace, func() {
+		if at, ok := e.down.Load(peer); ok && at == since {
+			e.runner.Abandon(e.ctx, peer)
+		}
+	})
+}
+
+// Frame implements messenger.Handler.
+func (e *Entry) Frame(peer string, f *wire.PeerFrame) {
+	for _, q := range f.GetRequests() {
+		e.runner.Request(e.ctx, peer, q)
+	}
+	for _, c := range f.GetCancels() {
+		e.runner.Cancel(e.ctx, c)
+	}
+	e.coordinator.Taken(peer, f.GetTakenSession(), f.GetTaken())
+	if f.GetWhole() || len(f.GetUpstreams()) > 0 {
+		e.coordinator.Update(peer, f.GetWhole(), f.GetUpstreams())
+	}
+	for _, end := range f.GetEnds() {
+		e.coordinator.Ended(end)
+	}
+}
+
+// Complete implements messenger.Handler.
+func (e *Entry) Complete(_ string, f *wire.PeerFrame, upstreams map[string]bool) {
+	if f.GetWhole() {
+		f.Upstreams = e.runner.States()
+		return
+	}
+	for name := range upstreams {
+		if s := e.runner.State(name); s != nil {
+			f.Upstreams = append(f.Upstreams, s)
+		}
+	}
+}
--- /dev/null
+++ b/radishweir/internal/composer/settings.go
@@ -0,0 +1,53 @@
+package composer
+
+import (
+	"time"
+
+	"radishweir.org/lib/loader"
+)
+
+// Settings are read from the settings file of one process.
+type Settings struct {
+	Name             string `toml:"name"`
+	FailureDomain    string `toml:"failure_domain"`
+	CallerAddress    string `toml:"caller_address"`
+	ReadinessAddress string `toml:"readiness_address"`
+	EntryAddress     string `toml:"entry_address"`
+	OperatorAddress  string `toml:"operator_address"`
+	PlatformAddress  string `toml:"platform_address"`
+	LogLevel         string `toml:"log_level"`
+	Weight           int    `toml:"weight"`
+	MemoryMB         int    `toml:"memory_mb"`
+	BalancerWait     string `toml:"balancer_wait"`
+	DrainLimit       string `toml:"drain_limit"`
+}
+
+// fields is the table of settings with their defaults and validators.
+func (s *Settings) fields() []loader.Field {
+	return []loader.Field{
+		{Key: "name", Value: &s.Name, Check: loader.Name},
+		{Key: "failure_domain", Value: &s.FailureDomain, Check: loader.Name},
+		{Key: "caller_address", Value: &s.CallerAddress, Check: loader.Address},
+		{Key: "readiness_address", Value: &s.ReadinessAddress, Check: loader.Address},
+		{Key: "entry_address", Value: &s.EntryAddress, Check: loader.Address},
+		{Key: "operator_address", Value: &s.OperatorAddress, Check: loader.Address},
+		{Key: "platform_address", Value: &s.PlatformAddress, Check: loader.Address},
+		{Key: "log_level", Value: &s.LogLevel, Default: "info", Check: loader.OneOf("debug", "info", "warn", "error")},
+		{Key: "weight", Value: &s.Weight, Default: 1, Check: loader.Between(1, 100)},
+		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.Between(32, 1<<20)},
+		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.Span(0, time.Minute)},
+		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.Span(time.Second, time.Hour)},
+	}
+}
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (*Settings, error) {
+	s := &Settings{}
+	return s, loader.Load(path, s, s.fields())
+}
+
+// duration returns a checked duration.
+func duration(s string) time.Duration {
+	d, _ := time.ParseDuration(s)
+	return d
+}
--- a/radishweir/main.go
+++ b/radishweir/main.go
@@ -7,6 +7,10 @@
 //
 //	radishweir --settings radishweir.toml
 //	radishweir --settings radishweir.toml --check-settings
+//	radishweir leased --settings leased.toml
+//
+// The subcommand leased serves a platform whose upstreams run tasks under
+// leases; it has settings of its own.
 //
 // The first SIGTERM or SIGINT drains the process; a second one ends it with
 // the verdict of every open job. The exit code is 0 after a drain, 1 after a
@@ -20,10 +24,12 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
 
 	"radishweir.org/lib/logger"
 	"radishweir.org/radishweir/internal/assembler"
+	"radishweir.org/radishweir/internal/composer"
 )
 
 // version is the release of the program.
@@ -43,19 +49,67 @@
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "the settings file, in TOML")
 	flaggy.Bool(&checkOnly, "c", "check-settings", "check the settings file and exit")
+	leased := flaggy.NewSubcommand("leased")
+	leased.Description = "serve upstreams that run tasks under leases"
+	flaggy.AttachSubcommand(leased, 1)
 	flaggy.Parse()
 
-	settings, err := assembler.LoadSettings(path)
+	build := newEntry
+	if leased.Used {
+		build = newLeased
+	}
+	if err := run(build, path, checkOnly); err != nil {
+		code := exitFailure
+		var bad *settingsError
+		if errors.As(err, &bad) {
+			code = exitBadSettings
+		}
+		fail(code, err)
+	}
+}
+
+// settingsError reports settings that cannot be used.
+type settingsError struct{ error }
+
+// entry is a daemon that serves until it gets a signal.
+type entry interface {
+	Run(ctx context.Context, signals <-chan os.Signal) error
+}
+
+// builder reads the settings at path and, unless checkOnly is set, builds the
+// daemon.
+type builder func(path string, checkOnly bool) (entry, error)
+
+// newEntry builds the entry for upstreams that answer each task by itself.
+func newEntry(path string, checkOnly bool) (entry, error) {
+	s, err := assembler.LoadSettings(path)
 	if err != nil {
-		fail(exitBadSettings, err)
+		return nil, &settingsError{err}
 	}
 	if checkOnly {
-		fmt.Println("settings are valid")
-		return
+		return nil, nil
+	}
+	log, err := logger.New(os.Stderr, s.LogLevel)
+	if err != nil {
+		return nil, err
 	}
-	if err := run(settings); err != nil {
-		fail(exitFailure, err)
+	return assembler.New(s, log)
+}
+
+// newLeased builds the entry for upstreams that run tasks under leases.
+func newLeased(path string, checkOnly bool) (entry, error) {
+	s, err := composer.LoadSettings(path)
+	if err != nil {
+		return nil, &settingsError{err}
 	}
+	if checkOnly {
+		return nil, nil
+	}
+	log, err := logger.New(os.Stderr, s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	return composer.New(s, log)
 }
 
 // fail prints err on one line and exits.
@@ -64,15 +118,15 @@
 	os.Exit(code)
 }
 
-// run starts the entry and waits for its end.
-func run(s *assembler.Settings) error {
-	log, err := logger.New(os.Stderr, s.LogLevel)
+// run builds the entry and waits for its end.
+func run(build builder, path string, checkOnly bool) error {
+	e, err := build(path, checkOnly)
 	if err != nil {
 		return err
 	}
-	e, err := assembler.New(s, log)
-	if err != nil {
-		return err
+	if checkOnly {
+		fmt.Println("settings are valid")
+		return nil
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
