Keep owners from deadlock and from calling running work lost

Own held the runner's lock while an upstream whose entry changed asked for it again, so the whole entry stopped following the store. An entry that was asked for a run before it knew that it owned the upstream, or after it had lost it unnoticed, answered that the run was not there.

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -62,8 +62,8 @@
 	// Log receives events.
 	Log zerolog.Logger
 
-	mu       sync.Mutex
-	members  map[string]member
+	mu      sync.Mutex
+	members map[string]member
 	// reset is the end of the grace after the last full read.
 	reset    time.Time
 	revision int64
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -58,7 +58,7 @@
 		wait:     histogram("queue_wait_seconds", "Time that tasks waited for a slot."),
 		run:      histogram("upstream_seconds", "Time that upstreams took for a task."),
 		response: histogram("response_seconds", "Time from a submission to its answer."),
-		jobs: counter("jobs_total", "Jobs by outcome.", "kind", "state", "reason"),
+		jobs:     counter("jobs_total", "Jobs by outcome.", "kind", "state", "reason"),
 		answer: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "answer_seconds", Help: "Time from a submission to its answer.", Buckets: runBuckets,
 		}, []string{"kind"}),
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -70,8 +70,8 @@
 	released bool
 	// refusedToken is the token that the upstream refused as too low.
 	refusedToken int64
-	clock    int64
-	clockAt  time.Time
+	clock        int64
+	clockAt      time.Time
 	// leased is the time at which everything there is certainly over unless
 	// another order renews the lease.
 	leased time.Time
@@ -94,7 +94,7 @@
 	h.mu.Unlock()
 	h.signal()
 	if old != u {
-		h.runner.Changed(u.Name)
+		go h.runner.Changed(u.Name)
 	}
 }
 
@@ -266,12 +266,11 @@
 		go h.runner.end(requester, q, e.cause)
 		return
 	}
-	if h.open {
-		go h.runner.end(requester, q, wire.RunEnd_lost)
-		return
-	}
+	// Only a look under the newest token can tell that the run is not there: what
+	// this owner knows may be older than the start.
 	h.runs[k] = &run{request: q, requester: requester, amount: AmountOf(q.GetAmount()), phase: uncertain, since: time.Now()}
 	h.free = h.free.Minus(AmountOf(q.GetAmount()))
+	h.signal()
 }
 
 // cancel stops a run.
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,6 +58,15 @@
 	mu    sync.RWMutex
 	held  map[string]*held
 	token int64
+	// early are attachments to upstreams that are not owned yet.
+	early []attachment
+}
+
+// attachment is a requester that asks for the end of a run.
+type attachment struct {
+	requester string
+	request   *wire.RunRequest
+	until     time.Time
 }
 
 // Own replaces the set of owned upstreams. The token is the revision of the
@@ -79,6 +89,7 @@
 		r.held[u.Name] = h
 		go h.loop(ctx)
 	}
+	r.attachEarly()
 	for name, h := range r.held {
 		if !keep[name] {
 			h.release()
@@ -91,20 +102,48 @@
 // that was started before. The end is always told, also of a run that did not
 // start.
 func (r *Runner) Request(ctx context.Context, requester string, q *wire.RunRequest) {
+	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
+		Str("requester", requester).Bool("attach", q.GetAttach()).Msg("run_requested")
+	if q.GetAttach() {
+		r.attach(requester, q)
+		return
+	}
 	h := r.find(q.GetUpstream())
 	if h == nil {
 		r.end(requester, q, wire.RunEnd_refused)
 		return
 	}
-	if q.GetAttach() {
+	h.start(ctx, requester, q)
+}
+
+// attach names the requester of a run. The requester may know of the ownership
+// before this entry does; only the owner can tell that a run is not there.
+func (r *Runner) attach(requester string, q *wire.RunRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h := r.held[q.GetUpstream()]; h != nil {
 		h.attach(requester, q)
 		return
 	}
-	h.start(ctx, requester, q)
+	r.early = append(r.early, attachment{requester, q, time.Now().Add(endMemory)})
+}
+
+// attachEarly hands on the attachments that waited for the ownership; the
+// caller holds the lock.
+func (r *Runner) attachEarly() {
+	now := time.Now()
+	r.early = slices.DeleteFunc(r.early, func(a attachment) bool {
+		h := r.held[a.request.GetUpstream()]
+		if h != nil {
+			h.attach(a.requester, a.request)
+		}
+		return h != nil || now.After(a.until)
+	})
 }
 
 // Cancel stops a run.
 func (r *Runner) Cancel(ctx context.Context, c *wire.RunCancel) {
+	r.Log.Debug().Str("task", c.GetTask()).Uint64("run", c.GetRun()).Str("upstream", c.GetUpstream()).Msg("run_cancelled")
 	if h := r.find(c.GetUpstream()); h != nil {
 		h.cancel(ctx, key{c.GetTask(), c.GetRun()})
 	}
@@ -172,6 +211,8 @@
 	if requester == "" {
 		return
 	}
+	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
+		Str("requester", requester).Stringer("cause", cause).Msg("run_ended")
 	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause})
 }
 
--- a/lib/watcher/watcher.go
+++ b/lib/watcher/watcher.go
@@ -92,7 +92,7 @@
 	for ctx.Err() == nil {
 		err := w.follow(ctx, func() { backoff = firstBackoff })
 		if w.connected.Swap(false) && ctx.Err() == nil {
-			w.Log.Warn().Err(err).Msg("platform_watch_lost")
+			w.Log.Warn().Str("prefix", w.Prefix).Err(err).Msg("platform_watch_lost")
 		}
 		if !sleep(ctx, Jitter(backoff)) {
 			return
@@ -128,7 +128,7 @@
 	}
 	w.touch(s.Revision)
 	if !w.connected.Swap(true) {
-		w.Log.Info().Int64("revision", s.Revision).Msg("platform_watch_up")
+		w.Log.Info().Str("prefix", w.Prefix).Int64("revision", s.Revision).Msg("platform_watch_up")
 	}
 	events := make([]platform.Event, 0, len(s.KeyValues))
 	for _, kv := range s.KeyValues {
