Learn owners from their claims, and take the caller's own deadline

Cause: an entry cut off from the store kept the owners it knew from the registrations, and the others closed their connections to it, so it refused nearly everything while the fleet had room (88 refusals in 6 s at one entry). A draining entry suffered the same. Jobs were ended at the queue's time-out although their callers wait twice as long. Long jobs counted as in time on upstreams where they end after the caller's deadline. Slowness started at one and followed the mean of ratios, which errors of the estimates pull up. Ruled out: too little capacity (other entries placed their jobs at once). Change: owners claim upstreams in the states that they send, the highest token wins; peers stay connected though unregistered; the deadline is the caller's header; slowness is the mean of logarithms and learns quickly at first.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -11,8 +11,10 @@
 // site is an upstream as this entry sees it.
 type site struct {
 	runner.Upstream
+	// owner is the entry that claimed the upstream with the highest token.
 	owner string
-	// known is true once the owner told the state.
+	token int64
+	// known is true while the owner's state is known.
 	known    bool
 	free     packer.Amount
 	slowness float64
@@ -93,8 +95,9 @@
 	return false
 }
 
-// Upstreams replaces the upstreams and their owners.
-func (c *Coordinator) Upstreams(list []runner.Upstream, owner map[string]string) {
+// Upstreams replaces the list of upstreams. Their owners make themselves known
+// through Update.
+func (c *Coordinator) Upstreams(list []runner.Upstream) {
 	c.mu.Lock()
 	sites := make(map[string]*site, len(list))
 	services := make(map[string][]*site)
@@ -104,21 +107,18 @@
 			s = &site{slowness: 1}
 		}
 		s.Upstream = u
-		if s.owner != owner[u.Name] {
-			s.owner = owner[u.Name]
-			s.known, s.usable = false, false
-		}
 		sites[u.Name] = s
 		services[u.Service] = append(services[u.Service], s)
 	}
 	c.sites, c.services = sites, services
-	out := c.reattach(func(t *task) bool { s := sites[t.upstream]; return s != nil && s.owner != t.owner })
 	c.mu.Unlock()
-	c.emit(out)
 	c.Wake()
 }
 
-// Update takes the states of upstreams from their owner.
+// Update takes the states of upstreams from the entry that owns them. Of two
+// entries that claim an upstream the one with the higher token owns it, whatever
+// this entry knows of the registrations; so an entry that cannot reach the store
+// learns of new owners from them.
 func (c *Coordinator) Update(owner string, whole bool, list []*wire.UpstreamState) {
 	c.mu.Lock()
 	if whole {
@@ -128,16 +128,30 @@
 			}
 		}
 	}
+	moved := make(map[string]bool)
 	for _, u := range list {
 		s := c.sites[u.GetUpstream()]
-		if s == nil || s.owner != owner {
+		if s == nil {
 			continue
 		}
-		s.known, s.usable = true, u.GetUsable()
+		if s.owner != owner {
+			if u.GetToken() <= s.token {
+				continue
+			}
+			s.owner = owner
+			moved[s.Name] = true
+		}
+		s.known, s.usable = u.GetToken() != 0, u.GetUsable()
+		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountOf(u.GetFree())
 		s.slowness = u.GetSlowness()
 	}
+	var out []message
+	if len(moved) > 0 {
+		out = c.reattach(func(t *task) bool { return moved[t.upstream] && t.owner != owner })
+	}
 	c.mu.Unlock()
+	c.emit(out)
 	c.Wake()
 }
 
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -120,3 +120,12 @@
 
 // expected is the run time that is expected of a task on an average upstream.
 func (j *job) expected() time.Duration { return max(j.Expected, time.Millisecond) }
+
+// latest is the time by which the job must end to be in time for a caller that
+// still waits.
+func (j *job) latest() time.Time {
+	if j.Until.Before(j.Due) {
+		return j.Until
+	}
+	return j.Due
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -95,7 +95,7 @@
 func (c *Coordinator) startWaiting(now time.Time) []message {
 	var out []message
 	for _, j := range slices.Clone(c.waiting) {
-		left := j.Due.Sub(now) - startMargin
+		left := j.latest().Sub(now) - startMargin
 		if left < c.fastest(j) {
 			out = append(out, c.close(j, Answer{
 				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(len(c.waiting)),
@@ -269,7 +269,7 @@
 func (c *Coordinator) next(now time.Time) time.Duration {
 	next := now.Add(idleInterval)
 	for _, j := range c.waiting {
-		if at := j.Due.Add(-startMargin - c.fastest(j)); at.Before(next) {
+		if at := j.latest().Add(-startMargin - c.fastest(j)); at.Before(next) {
 			next = at
 		}
 	}
--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -40,6 +40,9 @@
 	redialInterval = 100 * time.Millisecond
 	// stateDelay gathers changes of state; requests and ends are not delayed.
 	stateDelay = 3 * time.Millisecond
+	// forgetAfter is how long a peer that is no longer registered is dialled; it
+	// may live and have lost only the store.
+	forgetAfter = 30 * time.Second
 	// maxFrameBytes bounds one frame.
 	maxFrameBytes = 8 << 20
 )
@@ -74,7 +77,6 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	incoming map[string]*incoming
-	ctx      context.Context
 }
 
 // Listen binds the address.
@@ -90,7 +92,6 @@
 // Run takes connections until ctx ends.
 func (m *Messenger) Run(ctx context.Context) error {
 	m.mu.Lock()
-	m.ctx = ctx
 	if m.incoming == nil {
 		m.incoming = make(map[string]*incoming)
 	}
@@ -111,31 +112,45 @@
 	}
 }
 
-// Connect replaces the set of peers, by name and address. It is called after
-// Run began.
+// Connect sets the registered peers, by name and address. A peer that is no
+// longer among them stays connected while it is up, and is dialled for
+// forgetAfter. It is called after Run began.
 func (m *Messenger) Connect(ctx context.Context, addresses map[string]string) {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.peers == nil {
-		m.peers = make(map[string]*peer)
-	}
 	for name, p := range m.peers {
-		if addresses[name] != p.address {
+		address, registered := addresses[name]
+		switch {
+		case registered && address == p.address:
+			p.forget = time.Time{}
+		case registered || (!p.forget.IsZero() && now.After(p.forget) && !p.reachable()):
 			p.cancel()
 			delete(m.peers, name)
+		case p.forget.IsZero():
+			p.forget = now.Add(forgetAfter)
 		}
 	}
 	for name, address := range addresses {
-		if m.peers[name] != nil || name == m.Name {
-			continue
-		}
-		p := &peer{messenger: m, name: name, address: address, wake: make(chan struct{}, 1)}
-		p.in = m.incoming[name] != nil
-		ctx, cancel := context.WithCancel(ctx)
-		p.cancel = cancel
-		m.peers[name] = p
-		go p.run(ctx)
+		m.dial(ctx, name, address)
+	}
+}
+
+// dial begins to connect to a peer that is not known yet; the caller holds the
+// lock.
+func (m *Messenger) dial(ctx context.Context, name, address string) *peer {
+	if p := m.peers[name]; p != nil || name == m.Name {
+		return p
+	}
+	if m.peers == nil {
+		m.peers = make(map[string]*peer)
 	}
+	p := &peer{messenger: m, name: name, address: address, wake: make(chan struct{}, 1)}
+	p.in = m.incoming[name] != nil
+	ctx, p.cancel = context.WithCancel(ctx)
+	m.peers[name] = p
+	go p.run(ctx)
+	return p
 }
 
 // Send queues messages for a peer; it reports false when the peer is down.
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -20,7 +20,9 @@
 	name      string
 	address   string
 	cancel    context.CancelFunc
-	wake      chan struct{}
+	// forget is when an unregistered peer is given up; zero while registered.
+	forget time.Time
+	wake   chan struct{}
 
 	mu      sync.Mutex
 	in      bool
@@ -66,6 +68,13 @@
 	}
 }
 
+// reachable reports whether both directions work.
+func (p *peer) reachable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.in && p.out
+}
+
 func (p *peer) signal() {
 	select {
 	case p.wake <- struct{}{}:
@@ -145,7 +154,7 @@
 	p.setOut(true)
 	defer p.setOut(false)
 	w := bufio.NewWriter(c)
-	hello := &wire.PeerHello{Name: p.messenger.Name, Incarnation: p.messenger.Incarnation, Session: p.session}
+	hello := &wire.PeerHello{Name: p.messenger.Name, Incarnation: p.messenger.Incarnation, Session: p.session, Address: p.messenger.Address}
 	if _, err := protodelim.MarshalTo(w, hello); err != nil {
 		return err
 	}
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -34,7 +34,7 @@
 		return
 	}
 	in := &incoming{conn: c, session: hello.GetSession()}
-	m.join(hello.GetName(), in)
+	m.join(ctx, hello, in)
 	err := m.frames(c, r, hello.GetName(), in)
 	m.part(hello.GetName(), in, err)
 }
@@ -54,12 +54,14 @@
 	}
 }
 
-// join replaces an earlier connection of the same peer.
-func (m *Messenger) join(name string, in *incoming) {
+// join replaces an earlier connection of the same peer, and dials a peer that
+// this entry has not heard of yet.
+func (m *Messenger) join(ctx context.Context, hello *wire.PeerHello, in *incoming) {
+	name := hello.GetName()
 	m.mu.Lock()
 	old := m.incoming[name]
 	m.incoming[name] = in
-	p := m.peers[name]
+	p := m.dial(ctx, name, hello.GetAddress())
 	m.mu.Unlock()
 	if old != nil {
 		_ = old.conn.Close()
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -8,7 +9,7 @@
 )
 
 const (
-	// slownessWeight is the weight of one run in the learned slowness.
+	// slownessWeight is the least weight of one run in the learned slowness.
 	slownessWeight = 0.1
 	// slownessFloor and slownessCeiling bound one run's part in it.
 	slownessFloor   = 0.1
@@ -33,6 +34,8 @@
 // health is what the owner learned of an upstream.
 type health struct {
 	slowness float64
+	// learned is the number of runs that slowness is learned from.
+	learned  int
 	failures int
 	// failing is the job of the last failure, several whether others failed too.
 	failing  string
@@ -94,7 +97,7 @@
 		if ms := r.request.GetExpectedMs(); ms > 0 {
 			ratio := float64(now.Sub(r.since).Microseconds()) / 1000 / ms
 			ratio = min(max(ratio, slownessFloor), slownessCeiling)
-			h.slowness += slownessWeight * (ratio - h.slowness)
+			h.learn(ratio)
 		}
 	case wire.RunEnd_failed:
 		job, _, _ := strings.Cut(r.request.GetTask(), ".")
@@ -107,6 +110,14 @@
 	}
 }
 
+// learn takes the run time of one run over what was expected. The mean is that
+// of logarithms, as declared run times are off by factors either way.
+func (h *health) learn(ratio float64) {
+	h.learned++
+	w := max(slownessWeight, 1/(1+float64(h.learned)))
+	h.slowness = math.Exp((1-w)*math.Log(h.slowness) + w*math.Log(ratio))
+}
+
 // slownessNow is the learned slowness, or more while runs are overdue.
 func (h *health) slownessNow(now time.Time, runs map[key]*run) float64 {
 	s := h.slowness
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -120,7 +120,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	return &wire.UpstreamState{
-		Upstream: h.upstream.Name, Free: MessageOf(h.free), Slowness: h.slownessNow(now, h.runs), Usable: h.usable(now),
+		Upstream: h.upstream.Name, Free: MessageOf(h.free), Slowness: h.slownessNow(now, h.runs), Usable: h.usable(now), Token: h.token,
 	}
 }
 
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -94,6 +94,7 @@
 		if !keep[name] {
 			h.release()
 			delete(r.held, name)
+			go r.Changed(name)
 		}
 	}
 }
@@ -166,12 +167,12 @@
 	return out
 }
 
-// State describes one upstream, nil if it is not owned.
+// State describes one upstream; one that is not owned has no token.
 func (r *Runner) State(name string) *wire.UpstreamState {
 	if h := r.find(name); h != nil {
 		return h.state()
 	}
-	return nil
+	return &wire.UpstreamState{Upstream: name}
 }
 
 // Running returns the number of runs on all owned upstreams.
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -20,7 +20,6 @@
 		addresses[r.GetName()] = r.GetEntryAddress()
 	}
 	list := e.roster.Upstreams()
-	owners := make(map[string]string, len(list))
 	var own []runner.Upstream
 	for i := range list {
 		u := &list[i]
@@ -30,22 +29,19 @@
 		if !ok {
 			continue
 		}
-		owners[u.Name] = owner
 		if owner == e.Name && !e.draining.Load() {
 			own = append(own, *u)
 		}
 	}
 	e.messenger.Connect(e.ctx, addresses)
 	e.runner.Own(e.ctx, token, own)
-	e.coordinator.Upstreams(list, owners)
+	e.coordinator.Upstreams(list)
 	e.coordinator.Update(e.Name, true, e.runner.States())
 }
 
 // changed tells everybody the new state of an upstream of this entry.
 func (e *Entry) changed(name string) {
-	if s := e.runner.State(name); s != nil {
-		e.coordinator.Update(e.Name, false, []*wire.UpstreamState{s})
-	}
+	e.coordinator.Update(e.Name, false, []*wire.UpstreamState{e.runner.State(name)})
 	e.messenger.Publish(name)
 }
 
@@ -101,8 +97,6 @@
 		return
 	}
 	for name := range upstreams {
-		if s := e.runner.State(name); s != nil {
-			f.Upstreams = append(f.Upstreams, s)
-		}
+		f.Upstreams = append(f.Upstreams, e.runner.State(name))
 	}
 }
