Notice one-way cuts between entries, start lost runs elsewhere

Cause: at a cut between failure domains jobs with one run behind the cut hung until their callers' deadline; with a cut in one direction one side went on. Change: frames tell whether their sender hears the receiver, and a peer is up only when both do; runs at a peer that is silent for as long as its leases can last count as lost and start elsewhere.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -3,11 +3,16 @@
 import (
 	"time"
 
+	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/packer"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
 )
 
+// lostAfter is the time after which every run at a silent peer is over: the
+// peer notices the silence and stops the runs, or leases run out.
+const lostAfter = messenger.SilenceLimit + runner.LeaseTime + 150*time.Millisecond
+
 // site is an upstream as this entry sees it.
 type site struct {
 	runner.Upstream
@@ -35,7 +40,9 @@
 
 // link is the connection to one peer.
 type link struct {
-	up      bool
+	up bool
+	// lost is the time at which every run at a silent peer is certainly over.
+	lost    time.Time
 	session uint64
 	number  uint64
 	open    []request
@@ -181,6 +188,7 @@
 	if l := c.links[peer]; l != nil {
 		l.taken(l.number)
 		l.up = false
+		l.lost = time.Now().Add(lostAfter)
 	}
 	for _, s := range c.sites {
 		if s.owner == peer {
@@ -189,6 +197,28 @@
 	}
 }
 
+// lose ends the runs at peers that have been silent for lostAfter; the caller
+// holds the lock.
+func (c *Coordinator) lose(now time.Time) []message {
+	var out []message
+	for name, l := range c.links {
+		if l.up || l.lost.IsZero() || now.Before(l.lost) {
+			continue
+		}
+		l.lost = time.Time{}
+		for _, j := range c.jobs {
+			for _, t := range j.tasks {
+				if t.placed && t.owner == name {
+					out = append(out, c.ended(&wire.RunEnd{
+						Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
+					})...)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // reattach asks the present owners for the runs that match; the caller holds
 // the lock.
 func (c *Coordinator) reattach(match func(*task) bool) []message {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -40,6 +40,7 @@
 func (c *Coordinator) Pass(now time.Time) time.Duration {
 	c.mu.Lock()
 	out := c.expire(now)
+	out = append(out, c.lose(now)...)
 	out = append(out, c.finishBegun(now)...)
 	out = append(out, c.startWaiting(now)...)
 	next := c.next(now)
@@ -278,5 +279,10 @@
 			next = j.Until
 		}
 	}
+	for _, l := range c.links {
+		if !l.up && !l.lost.IsZero() && l.lost.Before(next) {
+			next = l.lost
+		}
+	}
 	return max(next.Sub(now), shortestInterval)
 }
--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -4,7 +4,9 @@
 // peer sends comes over the connection that the peer dialled. Messages that are
 // queued at the same time travel in one frame. A peer is up while both
 // directions work; frames or heartbeats are due every heartbeatInterval, so a
-// connection that went silent is noticed within silenceLimit. What was queued
+// connection that went silent is noticed within SilenceLimit. Each frame tells
+// whether its sender hears the other, so both sides notice a cut in one
+// direction. What was queued
 // when a connection broke is dropped, and Handler.Down and Handler.Up say so.
 //
 // # Usage
@@ -31,9 +33,9 @@
 const (
 	// heartbeatInterval is the longest time between two frames.
 	heartbeatInterval = 100 * time.Millisecond
-	// silenceLimit is the time without a frame after which a peer is down; a
-	// slow VM misses three heartbeats and is not down yet.
-	silenceLimit = 450 * time.Millisecond
+	// SilenceLimit is the time without a frame after which a peer is down; a
+	// slow VM misses two heartbeats and is not down yet.
+	SilenceLimit = 350 * time.Millisecond
 	// dialTimeout bounds the set-up of a connection.
 	dialTimeout = 300 * time.Millisecond
 	// redialInterval is the pause before a connection is tried again.
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -28,6 +28,8 @@
 	in      bool
 	out     bool
 	session uint64
+	// heard is the session that the peer last said it hears.
+	heard uint64
 	// queue is the frame that is being filled.
 	queue   *wire.PeerFrame
 	changed map[string]bool
@@ -43,7 +45,7 @@
 func (p *peer) send(add func(f *wire.PeerFrame)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.in || !p.out {
+	if !p.connected() {
 		return false
 	}
 	if p.queue == nil {
@@ -72,9 +74,13 @@
 func (p *peer) reachable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.in && p.out
+	return p.connected()
 }
 
+// connected reports whether both sides hear each other; the caller holds the
+// lock.
+func (p *peer) connected() bool { return p.in && p.out && p.heard == p.session }
+
 func (p *peer) signal() {
 	select {
 	case p.wake <- struct{}{}:
@@ -96,6 +102,22 @@
 	p.settle()
 }
 
+// setHeard notes which session the peer hears.
+func (p *peer) setHeard(session uint64) {
+	p.mu.Lock()
+	same := p.heard == session
+	p.mu.Unlock()
+	if same {
+		return
+	}
+	p.events.Lock()
+	defer p.events.Unlock()
+	p.mu.Lock()
+	p.heard = session
+	p.mu.Unlock()
+	p.settle()
+}
+
 // setOut notes whether the connection to the peer works.
 func (p *peer) setOut(out bool) {
 	p.events.Lock()
@@ -113,7 +135,7 @@
 // settle calls Up or Down after a change; the caller holds events.
 func (p *peer) settle() {
 	p.mu.Lock()
-	up, session := p.in && p.out, p.session
+	up, session := p.connected(), p.session
 	p.mu.Unlock()
 	switch {
 	case up && !p.up:
@@ -167,7 +189,7 @@
 	defer t.Stop()
 	for {
 		f := p.take()
-		_ = c.SetWriteDeadline(time.Now().Add(silenceLimit))
+		_ = c.SetWriteDeadline(time.Now().Add(SilenceLimit))
 		if _, err := protodelim.MarshalTo(w, f); err != nil {
 			return err
 		}
@@ -204,7 +226,7 @@
 func limitSilence(_, _ string, c syscall.RawConn) error {
 	var set error
 	err := c.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilenceLimit.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -28,7 +28,7 @@
 	defer stop()
 	r := bufio.NewReader(c)
 	hello := &wire.PeerHello{}
-	_ = c.SetReadDeadline(time.Now().Add(silenceLimit))
+	_ = c.SetReadDeadline(time.Now().Add(SilenceLimit))
 	if err := readLimits.UnmarshalFrom(r, hello); err != nil {
 		m.Log.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("peer_hello_unreadable")
 		return
@@ -42,11 +42,14 @@
 // frames hands on each frame.
 func (m *Messenger) frames(c net.Conn, r *bufio.Reader, name string, in *incoming) error {
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(silenceLimit))
+		_ = c.SetReadDeadline(time.Now().Add(SilenceLimit))
 		f := &wire.PeerFrame{}
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
+		if p := m.peer(name); p != nil {
+			p.setHeard(f.GetTakenSession())
+		}
 		m.Handler.Frame(name, f)
 		m.mu.Lock()
 		in.taken += uint64(len(f.GetRequests()))
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -50,8 +50,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 16 << 10
-	// abandonGrace is how long the runs of a silent peer go on.
-	abandonGrace = 400 * time.Millisecond
+	// abandonGrace is how long the runs of a silent peer go on; connections that
+	// were reset are back by then.
+	abandonGrace = 150 * time.Millisecond
 )
 
 // Entry is one entry daemon with all its parts.
