Ask about orders without an answer after 40 ms

Cause: while upstreams leave one order in twenty unanswered, a third of the jobs of eight tasks waited 200 ms for a lost start and up to 600 ms for a lost look, and the first look that could settle it had to wait for a waiting one. Change: a start without an answer after 40 ms is asked about at once by a look of its own; looks wait until somewhat after the next expected end; an upstream is ejected for silence only after 250 ms without any answer.

--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -17,8 +17,6 @@
 	// failuresToEject is the number of failures in a row, of two jobs at least,
 	// after which an upstream gets no new runs for a while.
 	failuresToEject = 3
-	// silencesToEject is the same for orders without an answer.
-	silencesToEject = 2
 	// firstEjection and lastEjection bound the time without new runs.
 	firstEjection = 500 * time.Millisecond
 	lastEjection  = 8 * time.Second
@@ -38,9 +36,12 @@
 	learned  int
 	failures int
 	// failing is the job of the last failure, several whether others failed too.
-	failing  string
-	several  bool
-	silences int
+	failing string
+	several bool
+	// heardAt is the time of the last answer, askedAt that of the first order
+	// since.
+	heardAt time.Time
+	askedAt time.Time
 	// ejected is the end of the time without new runs.
 	ejected time.Time
 	// ejection is the length of the next such time.
@@ -61,19 +62,22 @@
 }
 
 // answered takes any answer to an order.
-func (h *health) answered() { h.silences = 0 }
+func (h *health) answered() { h.heardAt = time.Now() }
 
 // silent takes an order without an answer.
 func (h *health) silent(now time.Time) {
-	h.silences++
-	if h.silences >= silencesToEject {
+	if h.askedAt.Before(h.heardAt) {
+		h.askedAt = now
+		return
+	}
+	if now.Sub(h.askedAt) >= silenceLimit {
 		h.eject(now)
 	}
 }
 
 // refused takes a refusal.
 func (h *health) refused(why Reason, now time.Time) {
-	h.silences = 0
+	h.heardAt = now
 	if why == Unhealthy {
 		h.eject(now)
 	}
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -68,6 +68,8 @@
 	// open is true once the upstream told what runs there.
 	open     bool
 	released bool
+	// settling is true while settle runs.
+	settling bool
 	// refusedToken is the token that the upstream refused as too low.
 	refusedToken int64
 	clock        int64
@@ -194,9 +196,11 @@
 
 // order sends a start and takes its answer.
 func (h *held) order(ctx context.Context, u Upstream, k key, o Order) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rep, err := h.runner.Client.Start(ctx, u, o)
+	late := time.AfterFunc(answerTimeout, func() { h.doubt(ctx, k) })
+	rep, err := h.runner.Client.Start(call, u, o)
+	late.Stop()
 	why := reason(err)
 	if err != nil {
 		h.runner.Log.Debug().Str("task", k.task).Str("upstream", u.Name).Err(err).Msg("start_failed")
@@ -214,7 +218,9 @@
 			r.phase, r.confirmed = running, time.Now()
 		}
 	case why == 0:
-		r.phase = uncertain
+		if r.phase == starting {
+			r.phase = uncertain
+		}
 		h.silent(time.Now())
 	default:
 		h.refused(why, time.Now())
@@ -227,6 +233,17 @@
 	h.signal()
 }
 
+// doubt asks about a start that got no answer yet.
+func (h *held) doubt(ctx context.Context, k key) {
+	h.mu.Lock()
+	if r := h.runs[k]; r != nil && r.phase == starting {
+		r.phase = uncertain
+		h.silent(time.Now())
+	}
+	h.mu.Unlock()
+	h.settle(ctx)
+}
+
 // causeOf returns the end of a run whose start was refused.
 func causeOf(why Reason) wire.RunEnd_Cause {
 	switch why {
@@ -252,7 +269,7 @@
 }
 
 // attach names the requester of a run that is there already.
-func (h *held) attach(requester string, q *wire.RunRequest) {
+func (h *held) attach(ctx context.Context, requester string, q *wire.RunRequest) {
 	k := key{q.GetTask(), q.GetRun()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -271,6 +288,7 @@
 	h.runs[k] = &run{request: q, requester: requester, amount: AmountOf(q.GetAmount()), phase: uncertain, since: time.Now()}
 	h.free = h.free.Minus(AmountOf(q.GetAmount()))
 	h.signal()
+	go h.settle(ctx)
 }
 
 // cancel stops a run.
@@ -290,7 +308,7 @@
 // stop sends a stop until it is answered or the run is over.
 func (h *held) stop(ctx context.Context, u Upstream, k key, o Order) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, answerTimeout)
 		_, err := h.runner.Client.Stop(call, u, o)
 		cancel()
 		h.mu.Lock()
--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -22,19 +22,52 @@
 			}
 			continue
 		}
-		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, l.Wait+callTimeout)
-		rep, err := h.runner.Client.Look(call, u, *l)
-		cancel()
-		if err != nil {
+		if err := h.look(ctx, u, *l); err != nil {
 			failures++
 			h.failed(err, failures)
 			pause(ctx, retryInterval)
 			continue
 		}
 		failures = 0
+	}
+}
+
+// look sends one look and takes its answer.
+func (h *held) look(ctx context.Context, u Upstream, l Look) error {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, l.Wait+answerTimeout)
+	defer cancel()
+	rep, err := h.runner.Client.Look(call, u, l)
+	if err == nil {
 		h.take(ctx, rep, sent)
 	}
+	return err
+}
+
+// settle looks without waiting until no run's fate is open. The loop may be
+// waiting for an end meanwhile.
+func (h *held) settle(ctx context.Context) {
+	h.mu.Lock()
+	busy := h.settling
+	h.settling = true
+	h.mu.Unlock()
+	if busy {
+		return
+	}
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		if !h.unsettled() || !h.open || h.released {
+			h.settling = false
+			h.mu.Unlock()
+			return
+		}
+		l, u := Look{Token: h.token, Observed: h.observed}, h.upstream
+		h.mu.Unlock()
+		if err := h.look(ctx, u, l); err != nil {
+			h.runner.Log.Debug().Str("upstream", u.Name).Err(err).Msg("look_failed")
+		}
+		pause(ctx, settleInterval)
+	}
 }
 
 // pause waits for d or the end of ctx.
@@ -74,14 +107,27 @@
 	if failures < 2 {
 		l.Expires = h.lease(time.Now())
 	}
-	if failures == 0 && !h.settling() {
-		l.Wait = lookWait
+	if failures == 0 {
+		l.Wait = h.wait(time.Now())
 	}
 	return l, h.upstream, true
 }
 
-// settling reports whether a run's fate is open; the caller holds the lock.
-func (h *held) settling() bool {
+// wait is how long a look may wait: until somewhat after the next expected end,
+// so that a look that gets no answer doesn't hide it for long; the caller holds
+// the lock.
+func (h *held) wait(now time.Time) time.Duration {
+	next := longestWait
+	for _, r := range h.runs {
+		expected := time.Duration(r.request.GetExpectedMs() * h.slowness * float64(time.Millisecond))
+		left := expected - now.Sub(r.since)
+		next = min(next, max(left*3/2, shortestWait))
+	}
+	return next
+}
+
+// unsettled reports whether a run's fate is open; the caller holds the lock.
+func (h *held) unsettled() bool {
 	for _, r := range h.runs {
 		if r.phase == uncertain || r.requester == "" {
 			return true
@@ -165,6 +211,7 @@
 	if !h.open {
 		h.open = true
 		go h.runner.Changed(h.upstream.Name)
+		go h.settle(ctx)
 	}
 }
 
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -30,10 +30,20 @@
 const (
 	// LeaseTime is the life of a lease on runs; the longest that upstreams grant.
 	LeaseTime = time.Second
-	// lookWait is how long a look waits for an end; two looks fit into a lease.
-	lookWait = 400 * time.Millisecond
+	// shortestWait and longestWait bound how long a look waits for an end; two
+	// of the longest fit into a lease.
+	shortestWait = 60 * time.Millisecond
+	longestWait  = 400 * time.Millisecond
 	// callTimeout bounds an order, a hundred times its usual round trip.
 	callTimeout = 200 * time.Millisecond
+	// answerTimeout is when an order without an answer is asked about; a
+	// question that was not needed costs one message.
+	answerTimeout = 40 * time.Millisecond
+	// silenceLimit is the time without any answer after which an upstream that
+	// was asked gets no new runs.
+	silenceLimit = 250 * time.Millisecond
+	// settleInterval is the pause between looks that settle a run's fate.
+	settleInterval = 10 * time.Millisecond
 	// retryInterval is the pause after a failed look.
 	retryInterval = 30 * time.Millisecond
 	// clockError covers upstream clocks that are 2% slow, and time on the way.
@@ -89,7 +99,7 @@
 		r.held[u.Name] = h
 		go h.loop(ctx)
 	}
-	r.attachEarly()
+	r.attachEarly(ctx)
 	for name, h := range r.held {
 		if !keep[name] {
 			h.release()
@@ -106,7 +116,7 @@
 	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
 		Str("requester", requester).Bool("attach", q.GetAttach()).Msg("run_requested")
 	if q.GetAttach() {
-		r.attach(requester, q)
+		r.attach(ctx, requester, q)
 		return
 	}
 	h := r.find(q.GetUpstream())
@@ -119,11 +129,11 @@
 
 // attach names the requester of a run. The requester may know of the ownership
 // before this entry does; only the owner can tell that a run is not there.
-func (r *Runner) attach(requester string, q *wire.RunRequest) {
+func (r *Runner) attach(ctx context.Context, requester string, q *wire.RunRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h := r.held[q.GetUpstream()]; h != nil {
-		h.attach(requester, q)
+		h.attach(ctx, requester, q)
 		return
 	}
 	r.early = append(r.early, attachment{requester, q, time.Now().Add(endMemory)})
@@ -131,12 +141,12 @@
 
 // attachEarly hands on the attachments that waited for the ownership; the
 // caller holds the lock.
-func (r *Runner) attachEarly() {
+func (r *Runner) attachEarly(ctx context.Context) {
 	now := time.Now()
 	r.early = slices.DeleteFunc(r.early, func(a attachment) bool {
 		h := r.held[a.request.GetUpstream()]
 		if h != nil {
-			h.attach(a.requester, a.request)
+			h.attach(ctx, a.requester, a.request)
 		}
 		return h != nil || now.After(a.until)
 	})
