Begin wide jobs as room comes, keep a share of each kind, look again when overdue

TestLateOrders: an end stayed unseen for 400 ms when the answer to a waiting look was lost. Change: a job begins with the places there are when the others follow in time, and what has begun goes first; the rank grows with the root of what its kind lacks (fairness between most value and equal shares); an overdue run is looked for by a look of its own, and looks without an answer are followed after 10 ms. Ruled out: equal shares of the room (serves far fewer callers in a burst).

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -70,8 +70,10 @@
 	services map[string][]*site
 	links    map[string]*link
 	kinds    map[string]*kind
-	started  flow
-	scratch  []packer.Candidate
+	// started counts core-seconds of started work, rooms the cores.
+	started flow
+	rooms   flow
+	scratch []packer.Candidate
 }
 
 // message is a request or a cancellation for the owner of an upstream.
@@ -142,21 +144,24 @@
 func (c *Coordinator) enqueue(j *job) {
 	k := c.kinds[j.Kind]
 	if k == nil {
-		k = &kind{at: j.Arrived}
+		k = &kind{at: j.Arrived, served: 1}
 		c.kinds[j.Kind] = k
 	}
 	s := size(&j.Job)
 	k.arrive(j.Arrived, s)
-	j.weight = k.rank(s)
-	c.queue(j)
+	j.value = k.value(s)
+	c.waiting = append(c.waiting, j)
 }
 
-// queue puts a job among the waiting; the caller holds the lock.
-func (c *Coordinator) queue(j *job) {
-	at, _ := slices.BinarySearchFunc(c.waiting, j, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), a.Arrived.Compare(b.Arrived))
+// sortWaiting orders the waiting jobs by rank; the caller holds the lock.
+func (c *Coordinator) sortWaiting() {
+	ranks := make(map[string]float64, len(c.kinds))
+	for name, k := range c.kinds {
+		ranks[name] = k.rank(1)
+	}
+	slices.SortFunc(c.waiting, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(b.value*ranks[b.Kind], a.value*ranks[a.Kind]), a.Arrived.Compare(b.Arrived))
 	})
-	c.waiting = slices.Insert(c.waiting, at, j)
 }
 
 // leave takes a caller that does not wait any longer.
@@ -186,6 +191,9 @@
 		}
 	}
 	c.observe(j, a)
+	if k := c.kinds[j.Kind]; k != nil {
+		k.answer(a.State == Refused)
+	}
 	j.answer <- a
 	return out
 }
--- /dev/null
+++ b/lib/coordinator/coordinator_test.go
@@ -0,0 +1,328 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/imitator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+// need is what each task of these tests takes; an upstream holds two.
+var need = packer.Amount{CPU: 6800, Memory: 64}
+
+// site is one entry that owns all imitated upstreams.
+type site struct {
+	*coordinator.Coordinator
+	runner *runner.Runner
+	fleet  *imitator.Fleet
+
+	mu      sync.Mutex
+	answers []answer
+}
+
+// answer is what one caller got.
+type answer struct {
+	kind  string
+	id    string
+	state coordinator.State
+	after time.Duration
+	due   time.Duration
+}
+
+// nobody is the connection to no other entry.
+type nobody struct{}
+
+func (nobody) Send(string, func(*wire.PeerFrame)) bool { return false }
+
+// newSite starts an entry on n upstreams.
+func newSite(ctx context.Context, n int) *site {
+	s := &site{fleet: imitator.New()}
+	s.fleet.Amount = need
+	for i := range n {
+		s.fleet.Add(runner.Upstream{
+			Name: fmt.Sprintf("u%02d", i), Service: "claims", Incarnation: 1,
+			Capacity: packer.Amount{CPU: 16000, Memory: 65536},
+		}, 1)
+	}
+	s.Coordinator = &coordinator.Coordinator{Self: "entry-1", Remote: nobody{}, Log: zerolog.Nop()}
+	s.runner = &runner.Runner{Client: s.fleet, Log: zerolog.Nop()}
+	s.runner.Ended = func(_ string, e *wire.RunEnd) { s.Ended(e) }
+	s.runner.Changed = func(name string) { s.Update("entry-1", false, []*wire.UpstreamState{s.runner.State(name)}) }
+	s.Local = s.runner
+	s.Init(ctx)
+	go s.Run(ctx)
+	s.Upstreams(s.fleet.List())
+	s.runner.Own(ctx, 1, s.fleet.List())
+	time.Sleep(50 * time.Millisecond)
+	return s
+}
+
+// submit sends a job and keeps its answer.
+func (s *site) submit(ctx context.Context, kind, id string, tasks int, expected, wait time.Duration) {
+	now := time.Now()
+	due := time.Duration(1.6*float64(expected)) + 60*time.Millisecond
+	j := coordinator.Job{
+		ID: id, Kind: kind, Service: "claims", Tasks: tasks, Need: need, Expected: expected,
+		Arrived: now, Due: now.Add(due), Until: now.Add(wait), MaxFailures: 3,
+	}
+	go func() {
+		a := s.Submit(ctx, j)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.answers = append(s.answers, answer{kind, id, a.State, time.Since(now), due})
+	}()
+}
+
+// got returns the answer of a job.
+func (s *site) got(t *testing.T, id string) answer {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.answers {
+		if a.id == id {
+			return a
+		}
+	}
+	t.Fatalf("job %s got no answer", id)
+	return answer{}
+}
+
+// inBubble runs a test in fake time with a context that ends with it.
+func inBubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(t, ctx)
+		cancel()
+		time.Sleep(2 * imitator.LateBy)
+	})
+}
+
+func TestJobCompletes(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 4)
+		s.submit(ctx, "check", "a", 8, 100*time.Millisecond, 3*time.Second)
+		time.Sleep(time.Second)
+		a := s.got(t, "a")
+		if a.state != coordinator.Complete || a.after > a.due {
+			t.Errorf("got %v after %v, due after %v", a.state, a.after, a.due)
+		}
+	})
+}
+
+// A job that is sent twice runs once and is answered twice.
+func TestSameJobTwice(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 2)
+		s.submit(ctx, "check", "a", 2, 100*time.Millisecond, 3*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		s.submit(ctx, "check", "a", 2, 100*time.Millisecond, 3*time.Second)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if n := len(s.answers); n != 2 {
+			t.Errorf("%d answers, want 2", n)
+		}
+		if n := s.fleet.Starts("a.0.0.0"); n != 1 {
+			t.Errorf("%d starts, want 1", n)
+		}
+	})
+}
+
+// A refused job has not run and does not run later; its caller hears so early.
+func TestRefusalIsTrueAndEarly(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 2)
+		s.fleet.Length = func(string) time.Duration { return 900 * time.Millisecond }
+		s.submit(ctx, "submission", "first", 4, 900*time.Millisecond, 3*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		for i := range 20 {
+			s.submit(ctx, "submission", fmt.Sprintf("j%d", i), 4, 900*time.Millisecond, 3*time.Second)
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		early := len(s.answers)
+		s.mu.Unlock()
+		if early < 15 {
+			t.Errorf("%d of 20 hopeless jobs were refused within 100 ms", early)
+		}
+		time.Sleep(5 * time.Second)
+		s.checkRefused(t)
+	})
+}
+
+// checkRefused reports refused jobs that ran.
+func (s *site) checkRefused(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.answers {
+		if a.state == coordinator.Refused && s.fleet.Starts(a.id+".0.0.0") > 0 {
+			t.Errorf("job %s was refused and ran", a.id)
+		}
+	}
+}
+
+// A caller that leaves takes its tasks along.
+func TestCallerLeaves(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 2)
+		s.fleet.Length = func(string) time.Duration { return 2 * time.Second }
+		call, leave := context.WithCancel(ctx)
+		s.submit(call, "submission", "a", 2, 2*time.Second, 10*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		leave()
+		time.Sleep(100 * time.Millisecond)
+		if n := s.fleet.Running(); n != 0 {
+			t.Errorf("%d tasks run for a caller that left", n)
+		}
+	})
+}
+
+// load is a mix of jobs that arrive at random.
+func load(ctx context.Context, s *site, rng *rand.Rand, length, gap time.Duration) {
+	kinds := []struct {
+		name  string
+		tasks int
+		run   time.Duration
+		share float64
+	}{{"check", 8, 60 * time.Millisecond, 0.25}, {"claim", 4, 900 * time.Millisecond, 0.05}, {"status", 2, 200 * time.Millisecond, 0.7}}
+	end := time.Now().Add(length)
+	for n := 0; time.Now().Before(end); n++ {
+		pick := rng.Float64()
+		k := kinds[0]
+		for _, k = range kinds {
+			if pick -= k.share; pick < 0 {
+				break
+			}
+		}
+		s.submit(ctx, k.name, fmt.Sprintf("%s-%d", k.name, n), k.tasks, k.run, 3*time.Second)
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(gap)))
+	}
+}
+
+// lengths gives the run times of the mix.
+func lengths(task string) time.Duration {
+	switch task[:2] {
+	case "ch":
+		return 60 * time.Millisecond
+	case "cl":
+		return 900 * time.Millisecond
+	}
+	return 200 * time.Millisecond
+}
+
+// shares returns, for each kind, the share of callers that were served in time.
+func (s *site) shares() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	served, all := map[string]float64{}, map[string]float64{}
+	for _, a := range s.answers {
+		all[a.kind]++
+		if a.state == coordinator.Complete && a.after <= a.due {
+			served[a.kind]++
+		}
+	}
+	for k := range all {
+		served[k] /= all[k]
+	}
+	return served
+}
+
+// play runs the mix on 48 upstreams (about 96 tasks at a time) and returns the
+// shares that were served in time. Trouble begins after two seconds.
+func play(t *testing.T, gap time.Duration, trouble func(*site)) map[string]float64 {
+	t.Helper()
+	var out map[string]float64
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 48)
+		s.fleet.Length = lengths
+		time.AfterFunc(2*time.Second, func() { trouble(s) })
+		load(ctx, s, rand.New(rand.NewPCG(1, 1)), 10*time.Second, gap)
+		time.Sleep(4 * time.Second)
+		out = s.shares()
+		for _, v := range s.fleet.Violations() {
+			t.Error(v)
+		}
+		s.checkRefused(t)
+	})
+	return out
+}
+
+// ordinary is the gap between jobs at about two thirds of the fleet's capacity.
+const ordinary = 7 * time.Millisecond
+
+func TestCalmDay(t *testing.T) {
+	for kind, share := range play(t, ordinary, func(*site) {}) {
+		if share < 0.95 {
+			t.Errorf("%s: %.2f were served in time, want 0.95", kind, share)
+		}
+	}
+}
+
+// In a burst of twice the capacity every kind keeps a share, and the kinds that
+// take little room keep most of theirs.
+func TestBurst(t *testing.T) {
+	got := play(t, ordinary/3, func(*site) {})
+	for kind, share := range got {
+		if share < 0.1 {
+			t.Errorf("%s: %.2f were served in time, want a tenth", kind, share)
+		}
+	}
+	if got["check"] < 0.6 {
+		t.Errorf("check: %.2f were served in time, want 0.6", got["check"])
+	}
+}
+
+// A third of the upstreams goes silent, fails or stands still: the others go on
+// serving.
+func TestThirdOfUpstreamsBad(t *testing.T) {
+	for name, change := range map[string]func(u *imitator.Upstream){
+		"cut":     func(u *imitator.Upstream) { u.Cut = true },
+		"failing": func(u *imitator.Upstream) { u.Failing = true },
+		"stuck":   func(u *imitator.Upstream) { u.Stuck = true },
+		"slow":    func(u *imitator.Upstream) { u.Slowness = 6 },
+	} {
+		got := play(t, 2*ordinary, func(s *site) {
+			for i := range 16 {
+				s.fleet.Do(fmt.Sprintf("u%02d", 3*i), change)
+			}
+		})
+		for kind, share := range got {
+			if share < 0.7 {
+				t.Errorf("%s, %s: %.2f were served in time, want 0.7", name, kind, share)
+			}
+		}
+	}
+}
+
+// Orders that get no answer and are carried out late cost few callers.
+func TestLateOrders(t *testing.T) {
+	got := play(t, ordinary, func(s *site) {
+		rng := rand.New(rand.NewPCG(2, 2))
+		var mu sync.Mutex
+		s.fleet.SetFault(func(imitator.Kind, string) imitator.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if rng.IntN(18) == 0 {
+				return imitator.Late
+			}
+			return imitator.None
+		})
+	})
+	for kind, share := range got {
+		if share < 0.8 {
+			t.Errorf("%s: %.2f were served in time, want 0.8", kind, share)
+		}
+	}
+}
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -92,8 +92,9 @@
 	// refused.
 	begun bool
 	// ran is true once a run certainly started.
-	ran    bool
-	weight float64
+	ran bool
+	// value is what the job counts for each core-second.
+	value  float64
 	answer chan Answer
 	// joined counts the callers that wait for the answer.
 	joined int
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -20,8 +20,6 @@
 	shortestInterval = time.Millisecond
 	// startMargin covers the way of an order to an upstream and back.
 	startMargin = 5 * time.Millisecond
-	// roundMargin covers the spread of run times when tasks run in turns.
-	roundMargin = 1.2
 	// runGap is added to a run's number after an upstream had seen a higher one.
 	runGap = 8
 	// firstRetry and retrySpread bound the advice to a refused caller.
@@ -131,6 +129,7 @@
 func (c *Coordinator) startWaiting(now time.Time) []message {
 	var out []message
 	ahead, rate := 0.0, c.rate(now)
+	c.sortWaiting()
 	for _, j := range slices.Clone(c.waiting) {
 		left := j.latest().Sub(now) - startMargin
 		if left < c.fastest(j) {
@@ -140,13 +139,8 @@
 			continue
 		}
 		open := j.open()
-		n := c.wanted(j, len(open), left)
-		found := c.candidates(j, nil, n, left)
-		var chosen []string
-		if found != nil {
-			chosen = packer.Pack(len(open), j.Need, found)
-		}
-		if found == nil || len(chosen) < n {
+		chosen := c.choose(j, open, left, now)
+		if chosen == nil {
 			ahead += size(&j.Job)
 			if wait := time.Duration(ahead / rate * float64(time.Second)); wait.Seconds() > patience*(left-c.fastest(j)).Seconds() {
 				out = append(out, c.close(j, Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)})...)
@@ -162,14 +156,35 @@
 	return out
 }
 
-// wanted is the number of tasks that must start at once so that all of them end
-// in time when the others run after them.
-func (c *Coordinator) wanted(j *job, tasks int, left time.Duration) int {
-	turns := int(float64(left) / (roundMargin * float64(j.expected())))
-	if turns < 2 {
-		return tasks
+// choose returns upstreams for the tasks of a job that can begin now: either all
+// tasks fit, or the others follow soon enough as room comes free. A job that has
+// begun goes before all that wait, so wide jobs are not passed by narrow ones.
+func (c *Coordinator) choose(j *job, open []*task, left time.Duration, now time.Time) []string {
+	found := c.candidates(j, nil, 1, left)
+	if found == nil {
+		return nil
+	}
+	chosen := packer.Pack(len(open), j.Need, found)
+	if len(chosen) == len(open) {
+		return chosen
+	}
+	missing := c.begunCores() + float64(len(open)-len(chosen))*float64(j.Need.CPU)/1000
+	collect := missing / max(c.rooms.rate(now), minimumRate)
+	if collect > (left - c.fastest(j)).Seconds() {
+		return nil
+	}
+	return chosen
+}
+
+// begunCores is what the waiting tasks of jobs that have begun take.
+func (c *Coordinator) begunCores() float64 {
+	sum := 0.0
+	for _, j := range c.jobs {
+		if j.begun {
+			sum += float64(len(j.tasks)-j.placed-j.done) * float64(j.Need.CPU) / 1000
+		}
 	}
-	return (tasks + turns - 1) / turns
+	return sum
 }
 
 // fastest is the shortest run time that is expected for a task of the job.
@@ -195,6 +210,7 @@
 		t.upstream, t.owner, t.placed = name, s.owner, true
 		j.placed++
 		c.started.add(now, size(&j.Job)/float64(j.Tasks))
+		c.rooms.add(now, float64(j.Need.CPU)/1000)
 		if m, ok := c.message(t, false); ok {
 			out = append(out, m)
 		}
@@ -280,7 +296,7 @@
 func (c *Coordinator) reconsider(j *job) {
 	if j.begun && !j.ran && j.placed == 0 {
 		j.begun = false
-		c.queue(j)
+		c.waiting = append(c.waiting, j)
 	}
 }
 
--- a/lib/coordinator/ranker.go
+++ b/lib/coordinator/ranker.go
@@ -10,6 +10,10 @@
 	rateWindow = 10 * time.Second
 	// sizeWeight is the weight of one job in the mean size of its kind.
 	sizeWeight = 0.02
+	// servedWeight is the weight of one answer in the served share of its kind.
+	servedWeight = 0.02
+	// servedFloor bounds what a low served share does to a rank.
+	servedFloor = 0.01
 	// fixedValue is the part of a job's value that doesn't depend on its size.
 	fixedValue = 0.3
 )
@@ -20,6 +24,17 @@
 	count float64
 	at    time.Time
 	size  float64
+	// served is the share of jobs that were not refused lately.
+	served float64
+}
+
+// answer counts an answer.
+func (k *kind) answer(refused bool) {
+	share := 1.0
+	if refused {
+		share = 0
+	}
+	k.served += servedWeight * (share - k.served)
 }
 
 // arrive counts a job of the given size, in core-seconds.
@@ -32,17 +47,21 @@
 	k.size += sizeWeight * (size - k.size)
 }
 
-// rank is the value of a job for each core-second that it takes. All kinds
+// value is what a job counts for each core-second that it takes. All kinds
 // together count the same, so a rare kind is not drowned by a frequent one, and
 // within a kind small jobs come first, so that more callers are served.
-func (k *kind) rank(size float64) float64 {
+func (k *kind) value(size float64) float64 {
 	if size <= 0 || k.size <= 0 {
 		return math.Inf(1)
 	}
-	value := (fixedValue + (1-fixedValue)*size/k.size) / max(k.count, 1)
-	return value / size
+	return (fixedValue + (1-fixedValue)*size/k.size) / max(k.count, 1) / size
 }
 
+// rank orders waiting jobs: by value, more so the less of their kind is served.
+// The root is the fairness between the most value in all (exponent 0) and equal
+// shares of the room (exponent 1).
+func (k *kind) rank(value float64) float64 { return value / math.Sqrt(max(k.served, servedFloor)) }
+
 // size is the work of a job in core-seconds.
 func size(j *Job) float64 {
 	return float64(j.Tasks) * max(j.Expected, time.Millisecond).Seconds() * float64(j.Need.CPU) / 1000
--- a/lib/imitator/imitator.go
+++ b/lib/imitator/imitator.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// SetFault replaces Fault between orders.
+func (f *Fleet) SetFault(fault func(k Kind, upstream string) Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Fault = fault
+}
+
 // Do changes an upstream.
 func (f *Fleet) Do(name string, change func(u *Upstream)) {
 	f.mu.Lock()
@@ -225,9 +232,12 @@
 
 // order carries out one order after its latency.
 func (f *Fleet) order(ctx context.Context, k Kind, name string, do func(*Upstream) (runner.Report, error)) (runner.Report, error) {
+	f.mu.Lock()
+	decide := f.Fault
+	f.mu.Unlock()
 	fault := None
-	if f.Fault != nil {
-		fault = f.Fault(k, name)
+	if decide != nil {
+		fault = decide(k, name)
 	}
 	select {
 	case <-ctx.Done():
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -70,11 +70,16 @@
 		h.askedAt = now
 		return
 	}
-	if now.Sub(h.askedAt) >= silenceLimit {
+	if h.silentTooLong(now) {
 		h.eject(now)
 	}
 }
 
+// silentTooLong reports whether orders have long been without any answer.
+func (h *health) silentTooLong(now time.Time) bool {
+	return h.askedAt.After(h.heardAt) && now.Sub(h.askedAt) >= silenceLimit
+}
+
 // refused takes a refusal.
 func (h *health) refused(why Reason, now time.Time) {
 	h.heardAt = now
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -217,6 +217,7 @@
 		if r.phase != running {
 			r.phase, r.confirmed = running, time.Now()
 		}
+		h.recheck(ctx, k, r, time.Now())
 	case why == 0:
 		if r.phase == starting {
 			r.phase = uncertain
--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -9,9 +9,8 @@
 
 // loop looks at the upstream while something runs there.
 func (h *held) loop(ctx context.Context) {
-	failures := 0
 	for ctx.Err() == nil {
-		l, u, ok := h.next(failures)
+		l, u, ok := h.next()
 		if !ok {
 			return
 		}
@@ -22,26 +21,32 @@
 			}
 			continue
 		}
-		if err := h.look(ctx, u, *l); err != nil {
-			failures++
-			h.failed(err, failures)
-			pause(ctx, retryInterval)
-			continue
+		answer := make(chan error, 1)
+		go func() { answer <- h.look(ctx, u, *l) }()
+		select {
+		case err := <-answer:
+			if err != nil {
+				pause(ctx, retryInterval)
+			}
+		case <-time.After(l.Wait + lookSlack):
+			// The next look does not wait for an answer that may be lost; one that
+			// comes late is taken all the same.
 		}
-		failures = 0
 	}
 }
 
 // look sends one look and takes its answer.
 func (h *held) look(ctx context.Context, u Upstream, l Look) error {
 	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, l.Wait+answerTimeout)
+	call, cancel := context.WithTimeout(ctx, l.Wait+callTimeout)
 	defer cancel()
 	rep, err := h.runner.Client.Look(call, u, l)
-	if err == nil {
-		h.take(ctx, rep, sent)
+	if err != nil {
+		h.failed(err)
+		return err
 	}
-	return err
+	h.take(ctx, rep, sent)
+	return nil
 }
 
 // settle looks without waiting until no run's fate is open. The loop may be
@@ -63,13 +68,41 @@
 		}
 		l, u := Look{Token: h.token, Observed: h.observed}, h.upstream
 		h.mu.Unlock()
-		if err := h.look(ctx, u, l); err != nil {
-			h.runner.Log.Debug().Str("upstream", u.Name).Err(err).Msg("look_failed")
+		answer := make(chan error, 1)
+		go func() { answer <- h.look(ctx, u, l) }()
+		select {
+		case <-answer:
+		case <-time.After(lookSlack):
 		}
 		pause(ctx, settleInterval)
 	}
 }
 
+// recheck looks once more when a run is overdue, as the answer of a waiting look
+// may be lost, and again at growing intervals; the caller holds the lock.
+func (h *held) recheck(ctx context.Context, k key, r *run, now time.Time) {
+	due := time.Duration(overdueFactor * r.request.GetExpectedMs() * h.slowness * float64(time.Millisecond))
+	if took := now.Sub(r.since); due < took {
+		due = time.Duration(overdueFactor * float64(took))
+	}
+	time.AfterFunc(r.since.Add(due).Sub(now)+lookSlack, func() {
+		h.mu.Lock()
+		overdue := h.runs[k] == r && !h.released && ctx.Err() == nil
+		l, u := Look{Token: h.token, Observed: h.observed}, h.upstream
+		h.mu.Unlock()
+		if !overdue {
+			return
+		}
+		// A failure is noted by look; the loop goes on looking.
+		_ = h.look(ctx, u, l)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.runs[k] == r {
+			h.recheck(ctx, k, r, time.Now())
+		}
+	})
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -79,7 +112,7 @@
 }
 
 // next returns the next look, nil if none is due; false after the release.
-func (h *held) next(failures int) (*Look, Upstream, bool) {
+func (h *held) next() (*Look, Upstream, bool) {
 	newest := h.runner.newest()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -102,13 +135,12 @@
 		}
 		return l, h.upstream, true
 	}
-	// After a second failure the lease is left to run out, so that the runs of
-	// an upstream that cannot be reached end at a known time.
-	if failures < 2 {
-		l.Expires = h.lease(time.Now())
-	}
-	if failures == 0 {
-		l.Wait = h.wait(time.Now())
+	// The lease of an upstream that cannot be reached is left to run out, so that
+	// its runs end at a known time.
+	now := time.Now()
+	if !h.silentTooLong(now) {
+		l.Expires = h.lease(now)
+		l.Wait = h.wait(now)
 	}
 	return l, h.upstream, true
 }
@@ -137,7 +169,7 @@
 }
 
 // failed takes the failure of a look.
-func (h *held) failed(err error, failures int) {
+func (h *held) failed(err error) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -149,7 +181,7 @@
 		h.restarted(h.upstream.Incarnation)
 	case 0:
 		h.silent(now)
-		if failures > 1 && now.After(h.leased) {
+		if h.silentTooLong(now) && now.After(h.leased) {
 			h.loseAll()
 		}
 	default:
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -36,9 +36,15 @@
 	longestWait  = 400 * time.Millisecond
 	// callTimeout bounds an order, a hundred times its usual round trip.
 	callTimeout = 200 * time.Millisecond
-	// answerTimeout is when an order without an answer is asked about; a
-	// question that was not needed costs one message.
-	answerTimeout = 40 * time.Millisecond
+	// answerTimeout is when an order without an answer is asked about, ten times
+	// its usual round trip; a question that was not needed costs one message.
+	answerTimeout = 20 * time.Millisecond
+	// lookSlack is when a look without an answer is followed by the next one;
+	// several times the usual round trip.
+	lookSlack = 10 * time.Millisecond
+	// overdueFactor is how many times its expected run time a run takes before
+	// an extra look; about a quarter of all runs take that long.
+	overdueFactor = 1.3
 	// silenceLimit is the time without any answer after which an upstream that
 	// was asked gets no new runs.
 	silenceLimit = 250 * time.Millisecond
