Report runs lost only as their owner, and only after a look

Ruled out: a late order (the first run ended done under the former owner). Change: an owner reports runs lost only after a first look under its token; an end that the upstream did not list counts only from the present owner. Both tests fail without their guard (ended as lost without a look; started again on the former owner's word).

--- a/lib/coordinator/coordinator_test.go
+++ b/lib/coordinator/coordinator_test.go
@@ -57,7 +57,7 @@
 	}
 	s.Coordinator = &coordinator.Coordinator{Self: "entry-1", Remote: nobody{}, Log: zerolog.Nop()}
 	s.runner = &runner.Runner{Client: s.fleet, Log: zerolog.Nop()}
-	s.runner.Ended = func(_ string, e *wire.RunEnd) { s.Ended(e) }
+	s.runner.Ended = func(_ string, e *wire.RunEnd) { s.Ended("entry-1", e) }
 	s.runner.Changed = func(name string) { s.Update("entry-1", false, []*wire.UpstreamState{s.runner.State(name)}) }
 	s.Local = s.runner
 	s.Init(ctx)
@@ -326,3 +326,67 @@
 		}
 	}
 }
+
+// requests keeps what is sent to other entries.
+type requests struct {
+	mu   sync.Mutex
+	list []*wire.RunRequest
+}
+
+func (r *requests) Send(_ string, add func(*wire.PeerFrame)) bool {
+	f := &wire.PeerFrame{}
+	add(f)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, f.GetRequests()...)
+	return true
+}
+
+// last returns the newest request and how many there were.
+func (r *requests) last() (*wire.RunRequest, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list[len(r.list)-1], len(r.list)
+}
+
+// A run that changed its owner is asked for there; what the former owner says of
+// it without a listed end does not count.
+func TestFormerOwnerIsNotBelieved(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sent := &requests{}
+		c := &coordinator.Coordinator{Self: "entry-1", Remote: sent, Log: zerolog.Nop()}
+		c.Init(ctx)
+		go c.Run(ctx)
+		c.Upstreams([]runner.Upstream{{Name: "u0", Service: "claims", Capacity: packer.Amount{CPU: 16000, Memory: 1000}}})
+		claim := func(owner string, token int64) {
+			c.Up(owner, 1)
+			c.Update(owner, true, []*wire.UpstreamState{{
+				Upstream: "u0", Free: &wire.Amount{Cpu: 16000, Memory: 1000}, Slowness: 1, Usable: true, Token: token,
+			}})
+		}
+		claim("entry-2", 1)
+		done := make(chan coordinator.Answer, 1)
+		now := time.Now()
+		go func() {
+			done <- c.Submit(ctx, coordinator.Job{
+				ID: "a", Kind: "check", Service: "claims", Tasks: 1, Need: need, Expected: time.Second,
+				Arrived: now, Due: now.Add(2 * time.Second), Until: now.Add(3 * time.Second), MaxFailures: 3,
+			})
+		}()
+		time.Sleep(10 * time.Millisecond)
+		claim("entry-3", 2)
+		time.Sleep(10 * time.Millisecond)
+		if q, n := sent.last(); !q.GetAttach() || n != 2 {
+			t.Fatalf("after the change of owner %d requests were sent, the last with attach=%v", n, q.GetAttach())
+		}
+		c.Ended("entry-2", &wire.RunEnd{Task: "a.0.0.0", Run: 1, Upstream: "u0", Cause: wire.RunEnd_lost})
+		time.Sleep(10 * time.Millisecond)
+		if _, n := sent.last(); n != 2 {
+			t.Error("the task was started again on the word of the former owner")
+		}
+		c.Ended("entry-3", &wire.RunEnd{Task: "a.0.0.0", Run: 1, Upstream: "u0", Cause: wire.RunEnd_done})
+		if a := <-done; a.State != coordinator.Complete {
+			t.Errorf("got %v, want complete", a.State)
+		}
+	})
+}
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -209,7 +209,7 @@
 		for _, j := range c.jobs {
 			for _, t := range j.tasks {
 				if t.placed && t.owner == name {
-					out = append(out, c.ended(&wire.RunEnd{
+					out = append(out, c.ended(t, &wire.RunEnd{
 						Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
 					})...)
 				}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -246,21 +246,26 @@
 	return message{owner: t.owner, start: q}, true
 }
 
-// Ended takes the end of a run.
-func (c *Coordinator) Ended(e *wire.RunEnd) {
+// Ended takes the end of a run from an owner. Only the present owner can tell
+// that a run is over without a listed end.
+func (c *Coordinator) Ended(owner string, e *wire.RunEnd) {
 	c.mu.Lock()
-	out := c.ended(e)
+	var out []message
+	if t := c.find(e); t != nil && (t.owner == owner || listed(e.GetCause())) {
+		out = c.ended(t, e)
+	}
 	c.mu.Unlock()
 	c.emit(out)
 	c.Wake()
 }
 
-// ended finds the task and takes the end; the caller holds the lock.
-func (c *Coordinator) ended(e *wire.RunEnd) []message {
-	t := c.find(e)
-	if t == nil {
-		return nil
-	}
+// listed reports whether the upstream itself told the end.
+func listed(cause wire.RunEnd_Cause) bool {
+	return cause == wire.RunEnd_done || cause == wire.RunEnd_failed || cause == wire.RunEnd_stopped
+}
+
+// ended takes the end of a task's run; the caller holds the lock.
+func (c *Coordinator) ended(t *task, e *wire.RunEnd) []message {
 	j := t.job
 	t.placed = false
 	j.placed--
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -66,7 +66,7 @@
 
 // silent takes an order without an answer.
 func (h *health) silent(now time.Time) {
-	if h.askedAt.Before(h.heardAt) {
+	if !h.askedAt.After(h.heardAt) {
 		h.askedAt = now
 		return
 	}
--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -181,7 +181,8 @@
 		h.restarted(h.upstream.Incarnation)
 	case 0:
 		h.silent(now)
-		if h.silentTooLong(now) && now.After(h.leased) {
+		// Before the first look the former owner may still hold the runs.
+		if h.open && h.silentTooLong(now) && now.After(h.leased) {
 			h.loseAll()
 		}
 	default:
--- a/lib/runner/runner_test.go
+++ b/lib/runner/runner_test.go
@@ -322,3 +322,36 @@
 		})
 	}
 }
+
+// silent is a client whose orders never arrive.
+type silent struct{}
+
+func (silent) Start(ctx context.Context, _ runner.Upstream, _ runner.Order) (runner.Report, error) {
+	<-ctx.Done()
+	return runner.Report{}, ctx.Err()
+}
+
+func (silent) Stop(ctx context.Context, _ runner.Upstream, _ runner.Order) (runner.Report, error) {
+	<-ctx.Done()
+	return runner.Report{}, ctx.Err()
+}
+
+func (silent) Look(ctx context.Context, _ runner.Upstream, _ runner.Look) (runner.Report, error) {
+	<-ctx.Done()
+	return runner.Report{}, ctx.Err()
+}
+
+// An owner that never reached an upstream knows nothing of its runs: the former
+// owner may hold their lease behind a cut.
+func TestOwnerThatNeverReachedTheUpstream(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		b := &bench{ends: make(map[string]wire.RunEnd_Cause)}
+		b.Runner = &runner.Runner{Client: silent{}, Ended: b.ended, Changed: func(string) {}, Log: zerolog.Nop()}
+		b.Own(ctx, 2, newFleet(1).List())
+		b.ask(ctx, "u0", "t", 1, true)
+		time.Sleep(5 * time.Second)
+		if got := b.end("t/1"); got != 0 {
+			t.Errorf("ended as %v without a look", got)
+		}
+	})
+}
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -48,7 +48,7 @@
 // ended tells the requester the end of a run.
 func (e *Entry) ended(requester string, end *wire.RunEnd) {
 	if requester == e.Name {
-		e.coordinator.Ended(end)
+		e.coordinator.Ended(e.Name, end)
 		return
 	}
 	// A requester that is down asks again when it is back.
@@ -86,7 +86,7 @@
 		e.coordinator.Update(peer, f.GetWhole(), f.GetUpstreams())
 	}
 	for _, end := range f.GetEnds() {
-		e.coordinator.Ended(end)
+		e.coordinator.Ended(peer, end)
 	}
 }
 
