Prove the leased path with real processes against a stand-in platform

Change: hoster stands in for the users' store and workers (over imitator, which judges double runs); TestLeased* run real entries on it: calm, configuration after forgotten history, graceful stop under load, draining workers, a store that is down, and a soak of kills, freezes, stops, outages, cut and failing workers and late orders.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 PROGRAMS := radishweir radishweirctl standin load
-MODULES := lib $(PROGRAMS) proof
+MODULES := lib platform $(PROGRAMS) proof
 
 .PHONY: build test demo lint slopes generate
 
@@ -22,4 +22,5 @@
 
 generate: ## Regenerates lib/wire from its schema.
 	go build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc --plugin=$(BIN)/protoc-gen-go --go_out=lib --go_opt=module=radishweir.org/lib -I lib/wire wire.proto
+	protoc --plugin=$(BIN)/protoc-gen-go --go_out=lib --go_opt=module=radishweir.org/lib -I lib/wire wire.proto peer.proto
+	@scripts/schema
--- a/lib/imitator/imitator.go
+++ b/lib/imitator/imitator.go
@@ -96,6 +96,8 @@
 	Stuck bool
 	// Cut keeps orders from arriving.
 	Cut bool
+	// Started counts the starts.
+	Started int
 
 	started time.Time
 	token   int64
@@ -298,6 +300,7 @@
 		f.violations = append(f.violations, fmt.Sprintf("two runs of %s at the same time", o.Task))
 	}
 	f.starts[o.Task]++
+	u.Started++
 	w := &work{key: k, amount: f.Amount, since: time.Now()}
 	u.runs[k] = w
 	w.length = time.Duration(float64(f.Length(o.Task)) * u.Slowness)
--- /dev/null
+++ b/lib/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/roster"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/watcher"
+)
+
+func newRoster() *roster.Roster {
+	return &roster.Roster{
+		Decode: func(key string, value []byte) (runner.Upstream, error) {
+			if string(value) == "broken" {
+				return runner.Upstream{}, errors.New("broken")
+			}
+			return runner.Upstream{Name: key, Leaving: string(value) == "leaving"}, nil
+		},
+		Changed: func() {}, Log: zerolog.Nop(),
+	}
+}
+
+// put, drop and list build events.
+func put(key, value string) platform.Event {
+	return platform.Event{KeyValue: platform.KeyValue{Key: key, Value: []byte(value)}}
+}
+
+func drop(key string) platform.Event {
+	return platform.Event{KeyValue: platform.KeyValue{Key: key}, Deleted: true}
+}
+
+func list(reset bool, events ...platform.Event) watcher.Update {
+	return watcher.Update{Reset: reset, Events: events}
+}
+
+func TestListFollowsTheStore(t *testing.T) {
+	r := newRoster()
+	r.Apply(list(true, put("a", ""), put("b", ""), put("x", "broken")))
+	if n := len(r.Upstreams()); n != 2 {
+		t.Fatalf("%d upstreams, want 2", n)
+	}
+	r.Apply(list(false, put("a", "leaving"), drop("b")))
+	got := r.Upstreams()
+	if len(got) != 1 || !got[0].Leaving {
+		t.Errorf("got %v, want a leaving", got)
+	}
+	r.Apply(list(false, put("a", "broken")))
+	if n := len(r.Upstreams()); n != 0 {
+		t.Errorf("an unreadable entry names %d upstreams", n)
+	}
+}
+
+// What lapsed while the store was away may be back within two seconds; after
+// that it is gone.
+func TestLapsedDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoster()
+		r.Apply(list(true, put("a", ""), put("b", ""), put("c", "")))
+		time.Sleep(time.Minute)
+		r.Apply(list(true, put("a", "")))
+		r.Apply(list(false, drop("b")))
+		if n := len(r.Upstreams()); n != 3 {
+			t.Errorf("%d upstreams right after the outage, want 3", n)
+		}
+		time.Sleep(1900 * time.Millisecond)
+		r.Apply(list(false, put("b", "")))
+		time.Sleep(time.Second)
+		if n := len(r.Upstreams()); n != 2 {
+			t.Errorf("%d upstreams after the grace, want 2", n)
+		}
+		r.Apply(list(false, drop("b")))
+		if n := len(r.Upstreams()); n != 1 {
+			t.Errorf("%d upstreams after an ordinary removal, want 1", n)
+		}
+	})
+}
--- /dev/null
+++ b/proof/leased_test.go
@@ -0,0 +1,373 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"radishweir.org/lib/imitator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/platform/schema"
+	"radishweir.org/standin/hoster"
+)
+
+// soakSeed makes the faults of TestLeasedSoak, which last soakSeconds.
+var (
+	soakSeed    = flag.Uint64("soak-seed", 7, "seed of the faults in TestLeasedSoak")
+	soakSeconds = flag.Int("soak-seconds", 20, "seconds of faults in TestLeasedSoak")
+)
+
+// system is a set of leased entries on the stand-in for the users' platform.
+type system struct {
+	*fleet
+	host    *hoster.Host
+	names   []string
+	entries map[string]*process
+	front   map[string]string
+	ready   map[string]string
+
+	mu     sync.Mutex
+	counts map[int]int
+	jobs   int
+	// refused holds the jobs whose answer said that they did not run.
+	refused []string
+}
+
+// configuration is one version with a queue for each prefix.
+func configuration(version int, prefixes ...string) schema.Configuration {
+	c := schema.Configuration{Version: version, Services: []schema.Service{{Name: "claims", MaxConns: 64}}}
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, schema.Route{
+			Name: "queue" + p, Host: "claims.example", Prefix: p, Service: "claims", TimeoutMs: 1500, TargetLatencyMs: 100,
+			MaxAttempts: 3, Stretch: 2,
+		})
+	}
+	return c
+}
+
+// newSystem starts n entries in two failure domains with workers in both.
+func newSystem(t *testing.T, entries, workers int) *system {
+	t.Helper()
+	s := &system{
+		fleet: &fleet{t: t, dir: t.TempDir()}, host: hoster.New(), entries: make(map[string]*process),
+		front: make(map[string]string), ready: make(map[string]string), counts: make(map[int]int),
+	}
+	s.host.Fleet.Amount = packer.Amount{CPU: 6800, Memory: 64}
+	s.host.Fleet.Length = func(string) time.Duration { return 60 * time.Millisecond }
+	if err := s.host.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range []string{"domain-1", "domain-2"} {
+		if err := s.host.AddWorkers("claims", d, workers/2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.host.Configure(configuration(1, "/check/")); err != nil {
+		t.Fatal(err)
+	}
+	go s.host.Run(t.Context())
+	for i := range entries {
+		s.addEntry(fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("domain-%d", i%2+1))
+	}
+	for _, name := range s.names {
+		s.waitReady(name)
+	}
+	// Owners open their upstreams and tell each other.
+	time.Sleep(time.Second)
+	return s
+}
+
+// addEntry writes the settings of an entry and starts it.
+func (s *system) addEntry(name, domain string) {
+	s.t.Helper()
+	s.names = append(s.names, name)
+	s.front[name], s.ready[name] = freeAddress(s.t), freeAddress(s.t)
+	settings := fmt.Sprintf(`name = %q
+failure_domain = %q
+caller_address = %q
+readiness_address = %q
+entry_address = %q
+operator_address = %q
+platform_address = %q
+balancer_wait = "300ms"
+drain_limit = "5s"
+`, name, domain, s.front[name], s.ready[name], freeAddress(s.t), freeAddress(s.t), s.host.Address())
+	if err := os.WriteFile(filepath.Join(s.dir, name+".toml"), []byte(settings), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.run(name)
+}
+
+// run starts the process of an entry.
+func (s *system) run(name string) {
+	s.t.Helper()
+	s.entries[name] = s.start("radishweir", "leased", "--settings", filepath.Join(s.dir, name+".toml"))
+}
+
+// waitReady waits until an entry welcomes connections.
+func (s *system) waitReady(name string) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if resp, err := http.Get("http://" + s.ready[name] + "/api/readiness"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+	s.t.Fatalf("%s is not ready:\n%s", name, s.entries[name].log)
+}
+
+// post submits a job of n tasks and returns the status, 0 without an answer.
+func (s *system) post(name, path, id string, n int) (status int, body string) {
+	data, err := json.Marshal(map[string]any{
+		"spec": "x", "best_effort": true,
+		"steps": []map[string]any{{"count": n, "cpu": 6800, "mem_mb": 64, "estimate_ms": 60}},
+	})
+	if err != nil {
+		s.t.Error(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.front[name]+path+id, bytes.NewReader(data))
+	if err != nil {
+		s.t.Error(err)
+		return 0, ""
+	}
+	r.Host = "claims.example"
+	r.Header.Set("X-Request-Deadline", "2500")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(out)
+}
+
+// load submits jobs to the entries in turn until ctx ends, and counts answers.
+func (s *system) load(ctx context.Context, gap time.Duration, names ...string) {
+	var wg sync.WaitGroup
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("%016x", i)
+		wg.Go(func() {
+			status, _ := s.post(names[i%len(names)], "/check/", id, 1+i%4)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.counts[status]++
+			s.jobs++
+			if status == http.StatusServiceUnavailable {
+				s.refused = append(s.refused, id)
+			}
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+}
+
+// judge checks what must hold whatever failed.
+func (s *system) judge() {
+	s.t.Helper()
+	for _, v := range s.host.Fleet.Violations() {
+		s.t.Error(v)
+	}
+	for _, id := range s.refused {
+		for i := range 4 {
+			if n := s.host.Fleet.Starts(fmt.Sprintf("%s.0.0.%d", id, i)); n > 0 {
+				s.t.Errorf("job %s was refused and its task %d ran", id, i)
+			}
+		}
+	}
+	s.t.Logf("%d jobs, by status: %v", s.jobs, s.counts)
+}
+
+// share returns the share of jobs that were answered with success.
+func (s *system) share() float64 { return float64(s.counts[http.StatusOK]) / float64(s.jobs) }
+
+func TestLeasedCalm(t *testing.T) {
+	s := newSystem(t, 4, 16)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	s.load(ctx, 20*time.Millisecond, s.names...)
+	s.judge()
+	if s.share() < 0.99 {
+		t.Errorf("%.3f were served, want 0.99", s.share())
+	}
+	if status, body := s.post("entry-1", "/nothing/", "1", 1); status != http.StatusNotFound {
+		t.Errorf("an unknown queue answers %d %s", status, body)
+	}
+}
+
+// A configuration is in force on every entry within two seconds, also when the
+// store forgets its history meanwhile.
+func TestLeasedConfiguration(t *testing.T) {
+	s := newSystem(t, 2, 4)
+	for version, prefix := range []string{"/first/", "/second/"} {
+		if err := s.host.Configure(configuration(version+2, prefix)); err != nil {
+			t.Fatal(err)
+		}
+		if version == 1 {
+			s.host.Store.Compact()
+		}
+		time.Sleep(2 * time.Second)
+		for _, name := range s.names {
+			if status, body := s.post(name, prefix, fmt.Sprintf("%016x", version), 1); status != http.StatusOK {
+				t.Errorf("%s answers %d %s on %s", name, status, body, prefix)
+			}
+			if status, body := s.post(name, "/check/", "2", 1); status != http.StatusNotFound {
+				t.Errorf("%s answers %d %s on a dropped queue", name, status, body)
+			}
+		}
+	}
+}
+
+// A planned stop under load cuts off no request.
+func TestLeasedGracefulStop(t *testing.T) {
+	s := newSystem(t, 3, 12)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	time.AfterFunc(time.Second, func() { _ = s.entries["entry-2"].Process.Signal(syscall.SIGTERM) })
+	busy, stop := context.WithTimeout(ctx, 1200*time.Millisecond)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.load(busy, 10*time.Millisecond, "entry-2") })
+	wg.Wait()
+	if err := <-s.entries["entry-2"].done; err != nil {
+		t.Errorf("the stopped entry ended with %v:\n%s", err, s.entries["entry-2"].log)
+	}
+	s.judge()
+	if n := s.counts[0]; n > 0 {
+		t.Errorf("%d requests were cut off", n)
+	}
+}
+
+// A worker that leaves gets its last start within two seconds of saying so, and
+// what runs there ends.
+func TestLeasedDraining(t *testing.T) {
+	s := newSystem(t, 2, 4)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	leaving := s.host.Workers()[0]
+	started := func() (n int) {
+		s.host.Fleet.Do(leaving, func(u *imitator.Upstream) { n = u.Started })
+		return n
+	}
+	atBound := make(chan int, 1)
+	time.AfterFunc(time.Second, func() { s.host.Drain(leaving) })
+	time.AfterFunc(3*time.Second, func() { atBound <- started() })
+	s.load(ctx, 20*time.Millisecond, s.names...)
+	s.judge()
+	if bound, end := <-atBound, started(); bound == 0 || end != bound {
+		t.Errorf("%d starts two seconds after the worker said that it leaves, %d at the end", bound, end)
+	}
+	if s.share() < 0.95 {
+		t.Errorf("%.3f were served, want 0.95", s.share())
+	}
+}
+
+// Entries serve on while the store is down for longer than their leases.
+func TestLeasedStoreDown(t *testing.T) {
+	s := newSystem(t, 4, 16)
+	s.host.Store.SetDown(true)
+	time.Sleep(3 * time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	time.AfterFunc(1500*time.Millisecond, func() { s.host.Store.SetDown(false) })
+	s.load(ctx, 20*time.Millisecond, s.names...)
+	s.judge()
+	if s.share() < 0.95 {
+		t.Errorf("%.3f were served, want 0.95", s.share())
+	}
+}
+
+// Random kills, freezes, planned stops, store outages, cut and failing workers
+// and late orders: no task runs twice at the same time, a refused job has not
+// run, and afterwards all is served again.
+func TestLeasedSoak(t *testing.T) {
+	s := newSystem(t, 5, 20)
+	rng, orders := rand.New(rand.NewPCG(*soakSeed, 1)), rand.New(rand.NewPCG(*soakSeed, 2))
+	var mu sync.Mutex
+	s.host.Fleet.SetFault(func(imitator.Kind, string) imitator.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if orders.IntN(60) == 0 {
+			return imitator.Fault(1 + orders.IntN(3))
+		}
+		return imitator.None
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Duration(*soakSeconds)*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.load(ctx, 15*time.Millisecond, s.names...) })
+	for ctx.Err() == nil {
+		s.trouble(rng)
+		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
+	}
+	wg.Wait()
+	s.judge()
+	if s.share() < 0.5 {
+		t.Errorf("%.3f were served, want half", s.share())
+	}
+	s.host.Fleet.SetFault(nil)
+	s.host.Store.SetDown(false)
+	time.Sleep(5 * time.Second)
+	s.jobs, s.counts = 0, make(map[int]int)
+	calm, stop := context.WithTimeout(t.Context(), 2*time.Second)
+	defer stop()
+	s.load(calm, 20*time.Millisecond, s.names...)
+	s.judge()
+	if s.share() < 0.95 {
+		t.Errorf("%.3f were served after the trouble, want 0.95", s.share())
+	}
+}
+
+// trouble causes one random fault and ends it.
+func (s *system) trouble(rng *rand.Rand) {
+	name := s.names[rng.IntN(len(s.names))]
+	p := s.entries[name]
+	pause := time.Duration(300+rng.IntN(1500)) * time.Millisecond
+	workers := s.host.Workers()
+	worker := workers[rng.IntN(len(workers))]
+	change := func(set func(u *imitator.Upstream, on bool)) {
+		s.host.Fleet.Do(worker, func(u *imitator.Upstream) { set(u, true) })
+		time.Sleep(pause)
+		s.host.Fleet.Do(worker, func(u *imitator.Upstream) { set(u, false) })
+	}
+	switch rng.IntN(6) {
+	case 0:
+		_ = p.Process.Kill()
+		<-p.done
+		time.Sleep(pause)
+		s.run(name)
+	case 1:
+		_ = p.Process.Signal(syscall.SIGTERM)
+		<-p.done
+		s.run(name)
+	case 2:
+		_ = p.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(pause)
+		_ = p.Process.Signal(syscall.SIGCONT)
+	case 3:
+		s.host.Store.SetDown(true)
+		time.Sleep(pause)
+		s.host.Store.SetDown(false)
+	case 4:
+		change(func(u *imitator.Upstream, on bool) { u.Cut = on })
+	case 5:
+		change(func(u *imitator.Upstream, on bool) { u.Failing = on })
+	}
+}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -183,7 +183,7 @@
 	e.coordinator.Init(ctx)
 	failed := make(chan error, 4)
 	var work sync.WaitGroup
-	work.Go(func() { failed <- errors.Wrap(e.messenger.Run(ctx), "entries") })
+	work.Go(func() { failed <- e.messenger.Run(ctx) })
 	for _, w := range e.watchers {
 		work.Go(func() { w.Run(ctx) })
 	}
--- /dev/null
+++ b/standin/hoster/hoster.go
@@ -0,0 +1,165 @@
+// Package hoster is a small stand-in for the users' platform: its store and its
+// workers, in memory, over HTTP on loopback.
+//
+// It speaks the part of the platform's protocol that radishweir uses. The
+// workers are those of package imitator, which also judges what runs there.
+//
+// # Usage
+//
+//	h := hoster.New()
+//	err := h.Listen()
+//	h.AddWorkers("claims", "domain-1", 4)
+//	go h.Run(ctx)
+//	h.Configure(configuration)
+package hoster
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/imitator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+	"radishweir.org/platform/schema"
+)
+
+// beatInterval is the time between two reports of a worker.
+const beatInterval = 500 * time.Millisecond
+
+// headerTimeout bounds the time that a client takes for its headers.
+const headerTimeout = 5 * time.Second
+
+// Host is the platform. Exported fields are set before Listen.
+type Host struct {
+	// Fleet holds the workers and judges their runs.
+	Fleet *imitator.Fleet
+	// Store is the key-value service.
+	Store *Store
+
+	mu       sync.Mutex
+	listener net.Listener
+	workers  []*worker
+}
+
+// worker is one worker with its address.
+type worker struct {
+	listener net.Listener
+	record   schema.Worker
+	name     string
+}
+
+// New returns a host without workers.
+func New() *Host { return &Host{Fleet: imitator.New(), Store: newStore()} }
+
+// Listen binds the store's address on loopback.
+func (h *Host) Listen() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the store")
+	}
+	h.listener = l
+	return nil
+}
+
+// Address returns the store's address.
+func (h *Host) Address() string { return h.listener.Addr().String() }
+
+// AddWorkers adds n workers of a service in a failure domain.
+func (h *Host) AddWorkers(service, domain string, n int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen for a worker")
+		}
+		name := fmt.Sprintf("i-%s-%d", domain, len(h.workers))
+		born := time.Now().UnixMilli()
+		w := &worker{listener: l, name: name, record: schema.Worker{
+			Service: service, Address: l.Addr().String(), Zone: domain, State: schema.WorkerStateReady,
+			Capacity: schema.Capacity{CPU: 16000, MemMb: 65536}, Born: float64(born),
+		}}
+		h.workers = append(h.workers, w)
+		h.Fleet.Add(runner.Upstream{
+			Name: name, Incarnation: born, Capacity: packer.Amount{CPU: 16000, Memory: 65536},
+		}, 1)
+	}
+	return nil
+}
+
+// Configure puts a configuration.
+func (h *Host) Configure(c schema.Configuration) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	h.Store.put("op/config", base64.StdEncoding.EncodeToString(data), 0)
+	return nil
+}
+
+// Workers returns the names of the workers.
+func (h *Host) Workers() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for _, w := range h.workers {
+		out = append(out, w.name)
+	}
+	return out
+}
+
+// Drain makes a worker report that it leaves.
+func (h *Host) Drain(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range h.workers {
+		if w.name == name {
+			w.record.State = schema.WorkerStateDraining
+		}
+	}
+}
+
+// Run serves until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	serve := func(l net.Listener, handler http.Handler) {
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		work.Go(func() { _ = s.Serve(l) })
+		work.Go(func() { <-ctx.Done(); _ = s.Close() })
+	}
+	serve(h.listener, h.Store.handler())
+	h.mu.Lock()
+	for _, w := range h.workers {
+		serve(w.listener, h.workerHandler(w.name))
+	}
+	h.mu.Unlock()
+	work.Go(func() { h.beat(ctx) })
+	work.Wait()
+}
+
+// beat lets each worker report itself.
+func (h *Host) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		for _, w := range h.workers {
+			w.record.Sequence++
+			data, err := json.Marshal(w.record)
+			if err == nil && !h.Store.isDown() {
+				h.Store.put("servers/"+w.name, base64.StdEncoding.EncodeToString(data), 0)
+			}
+		}
+		h.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatInterval):
+		}
+	}
+}
--- /dev/null
+++ b/standin/hoster/store.go
@@ -0,0 +1,277 @@
+package hoster
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"radishweir.org/platform/schema"
+)
+
+// item is one key.
+type item struct {
+	value    string
+	revision int
+	lease    int
+}
+
+// Store is the platform's key-value service.
+type Store struct {
+	mu       sync.Mutex
+	revision int
+	items    map[string]item
+	history  []schema.Item
+	leases   map[int]*time.Timer
+	ttl      map[int]time.Duration
+	changed  chan struct{}
+	down     bool
+	calls    int
+	// compacted is the highest revision whose history is gone.
+	compacted int
+}
+
+func newStore() *Store {
+	return &Store{
+		revision: 1, items: make(map[string]item), leases: make(map[int]*time.Timer),
+		ttl: make(map[int]time.Duration), changed: make(chan struct{}),
+	}
+}
+
+// SetDown makes the store refuse all calls.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Compact discards the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// put writes one key.
+func (s *Store) put(key, value string, lease int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(key, value, lease)
+}
+
+// write sets a key at the present revision; the caller holds the lock.
+func (s *Store) write(key, value string, lease int) {
+	s.items[key] = item{value, s.revision, lease}
+	rev := s.revision
+	s.note(schema.Item{Key: &key, Value: &value, Revision: &rev})
+}
+
+// remove drops a key at the present revision; the caller holds the lock.
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	rev, deleted := s.revision, true
+	s.note(schema.Item{Key: &key, Revision: &rev, Deleted: &deleted})
+}
+
+// note appends to the history and wakes the watches; the caller holds the lock.
+func (s *Store) note(e schema.Item) {
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lapse ends a lease.
+func (s *Store) lapse(id int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	s.revision++
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if s.items[key].lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// handler serves the store.
+func (s *Store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/kv-key", s.key)
+	mux.HandleFunc("GET /api/kv-range", s.list)
+	mux.HandleFunc("GET /api/kv-watch", s.watch)
+	mux.HandleFunc("POST /api/kv-txn", s.transact)
+	mux.HandleFunc("POST /api/kv-lease", s.grant)
+	mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// send writes a JSON body.
+func send(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may have gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// show describes a key; the caller holds the lock.
+func (s *Store) show(key string) schema.Item {
+	i := s.items[key]
+	return schema.Item{Key: &key, Value: &i.value, Revision: &i.revision, Lease: &i.lease}
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.URL.Query().Get("key")
+	if _, ok := s.items[key]; !ok {
+		send(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	send(w, http.StatusOK, s.show(key))
+}
+
+// pageLimit is the number of items of a page; small, so that tests see pages.
+const pageLimit = 20
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	at, more := s.revision, false
+	out := schema.Range{At: &at, HasMore: &more}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(key, q.Get("prefix")) || key <= q.Get("after") {
+			continue
+		}
+		if len(out.Items) == pageLimit {
+			more = true
+			break
+		}
+		out.Items = append(out.Items, s.show(key))
+	}
+	send(w, http.StatusOK, out)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.Atoi(q.Get("after"))
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			send(w, http.StatusGone, struct{}{})
+			return
+		}
+		at := s.revision
+		out := schema.Changes{At: &at}
+		for _, e := range s.history {
+			if *e.Revision > after && strings.HasPrefix(*e.Key, q.Get("prefix")) {
+				out.Events = append(out.Events, e)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(out.Events) > 0 {
+			send(w, http.StatusOK, out)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-end:
+			send(w, http.StatusOK, out)
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var q schema.Transaction
+	if !decode(w, r, &q) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range q.ExpectedRev {
+		if s.items[e.Key].revision != e.Revision {
+			send(w, http.StatusPreconditionFailed, struct{}{})
+			return
+		}
+	}
+	for _, p := range q.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			send(w, http.StatusNotFound, struct{}{})
+			return
+		}
+	}
+	s.revision++
+	for _, p := range q.Puts {
+		s.write(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range q.Remove {
+		s.remove(key)
+	}
+	send(w, http.StatusOK, schema.Revision{Revision: s.revision})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var q schema.LeaseRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id, ttl := s.revision, time.Duration(q.TtlMs)*time.Millisecond
+	s.ttl[id] = ttl
+	s.leases[id] = time.AfterFunc(ttl, func() { s.lapse(id) })
+	ms := float64(q.TtlMs)
+	send(w, http.StatusOK, schema.Lease{Lease: &id, TtlMs: &ms})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.Atoi(r.PathValue("id"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.leases[id]
+	if t == nil || !t.Stop() {
+		send(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	t.Reset(s.ttl[id])
+	send(w, http.StatusOK, struct{}{})
+}
