Count attached runs as lost, not refused; read settings again on SIGHUP

Entries ended with code 129, as SIGHUP was not handled. Ruled out: a start after the refusal (the start came 2.2 s before it). Change: a run that the owner did not order itself and doesn't find is lost; a leased entry reads its settings again on SIGHUP and when the file changed. TestLeasedReload: before, the signal ended the process.

--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -291,8 +291,13 @@
 		case r.phase == uncertain && !r.stopping:
 			h.stopLocked(ctx, k, r)
 		case r.phase == uncertain && !r.stopped.IsZero() && r.stopped.Before(sent):
-			// A run that is not there after its stop never starts.
-			h.finish(k, wire.RunEnd_refused)
+			// A run that is not there after its stop never starts. Whether it ran
+			// before is known only of runs that this owner ordered.
+			cause := wire.RunEnd_refused
+			if r.request.GetAttach() {
+				cause = wire.RunEnd_lost
+			}
+			h.finish(k, cause)
 		}
 	}
 }
--- a/lib/runner/runner_test.go
+++ b/lib/runner/runner_test.go
@@ -185,8 +185,9 @@
 		if got := next.end("t/1"); got != wire.RunEnd_done {
 			t.Errorf("the run that was taken over ended as %v, want done", got)
 		}
-		if got := next.end("unknown/1"); got != wire.RunEnd_refused {
-			t.Errorf("a run that is not there ended as %v, want refused", got)
+		// It may have run under the former owner, so it doesn't count as refused.
+		if got := next.end("unknown/1"); got != wire.RunEnd_lost {
+			t.Errorf("a run that is not there ended as %v, want lost", got)
 		}
 		if f.Starts("new") > 0 {
 			t.Error("a former owner started a run")
--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -279,6 +280,32 @@
 	}
 }
 
+// SIGHUP makes an entry read its settings again and serve on; settings that
+// cannot be used are refused.
+func TestLeasedReload(t *testing.T) {
+	s := newSystem(t, 1, 2)
+	p, path := s.entries["entry-1"], filepath.Join(s.dir, "entry-1.toml")
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct{ line, event string }{
+		{"log_level = \"debug\"\n", "settings_in_force"}, {"log_level = \"loud\"\n", "settings_refused"},
+	} {
+		if err := os.WriteFile(path, append(bytes.Clone(good), c.line...), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_ = p.Process.Signal(syscall.SIGHUP)
+		time.Sleep(300 * time.Millisecond)
+		if status, body := s.post("entry-1", "/check/", fmt.Sprintf("%016x", i), 1); status != http.StatusOK {
+			t.Errorf("after the signal: %d %s\n%s", status, body, p.log)
+		}
+		if !strings.Contains(p.log.String(), "event="+c.event) {
+			t.Errorf("no %s after %q:\n%s", c.event, c.line, p.log)
+		}
+	}
+}
+
 // Entries serve on while the store is down for longer than their leases.
 func TestLeasedStoreDown(t *testing.T) {
 	s := newSystem(t, 4, 16)
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -57,8 +57,13 @@
 
 // Entry is one entry daemon with all its parts.
 type Entry struct {
+	// Settings are those of the start.
 	*Settings
 	Log zerolog.Logger
+	// SettingsPath is the file to read again after a signal of Hangups or when
+	// it changed; empty for none.
+	SettingsPath string
+	Hangups      <-chan os.Signal
 
 	self        *wire.Registration
 	registry    *prometheus.Registry
@@ -74,6 +79,7 @@
 	readiness   *http.Server
 	operators   *operator.Server
 
+	current  atomic.Pointer[Settings]
 	ctx      context.Context
 	divides  sync.Mutex
 	draining atomic.Bool
@@ -84,6 +90,7 @@
 // New builds an entry and binds its sockets.
 func New(s *Settings, log zerolog.Logger) (*Entry, error) {
 	e := &Entry{Settings: s, Log: log.With().Str("entry", s.Name).Logger()}
+	e.adopt(s)
 	started := time.Now()
 	e.self = &wire.Registration{
 		Name: s.Name, Incarnation: fmt.Sprintf("%x-%x-%08x", started.UnixNano(), os.Getpid(), rand.Uint32()),
@@ -189,6 +196,7 @@
 	}
 	work.Go(func() { e.enroller.Run(ctx) })
 	work.Go(func() { e.coordinator.Run(ctx) })
+	work.Go(func() { e.followSettings(ctx) })
 	for _, s := range []*http.Server{e.callers, e.readiness} {
 		l, err := net.Listen("tcp", s.Addr)
 		if err != nil {
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -1,8 +1,11 @@
 package composer
 
 import (
+	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"radishweir.org/lib/loader"
 )
 
@@ -51,3 +54,54 @@
 	d, _ := time.ParseDuration(s)
 	return d
 }
+
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = time.Second
+
+// followSettings takes changed settings until ctx ends.
+func (e *Entry) followSettings(ctx context.Context) {
+	if e.SettingsPath == "" {
+		return
+	}
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Hangups:
+		case <-t.C:
+		}
+		s, err := LoadSettings(e.SettingsPath)
+		if err != nil {
+			e.Log.Error().Err(err).Msg("settings_refused")
+			continue
+		}
+		if *s != *e.current.Load() {
+			e.adopt(s)
+		}
+	}
+}
+
+// adopt puts settings in force. Name, addresses and weight need a new start.
+func (e *Entry) adopt(s *Settings) {
+	if old := e.current.Swap(s); old != nil {
+		e.Log.Info().Str("balancer_wait", s.BalancerWait).Str("drain_limit", s.DrainLimit).Str("log_level", s.LogLevel).
+			Bool("needs_restart", s.fixed() != old.fixed()).Msg("settings_in_force")
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		e.Log.Error().Err(err).Msg("log_level_refused")
+		return
+	}
+	zerolog.SetGlobalLevel(level)
+}
+
+// fixed returns the settings without those that can change while the entry
+// runs.
+func (s *Settings) fixed() Settings {
+	out := *s
+	out.BalancerWait, out.DrainLimit, out.LogLevel = "", "", ""
+	return out
+}
--- a/radishweir/main.go
+++ b/radishweir/main.go
@@ -13,7 +13,8 @@
 // leases; it has settings of its own.
 //
 // The first SIGTERM or SIGINT drains the process; a second one ends it with
-// the verdict of every open job. The exit code is 0 after a drain, 1 after a
+// the verdict of every open job. SIGHUP makes a leased entry read its settings
+// again. The exit code is 0 after a drain, 1 after a
 // failure and 2 for bad settings.
 package main
 
@@ -26,6 +27,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
 
 	"radishweir.org/lib/logger"
 	"radishweir.org/radishweir/internal/assembler"
@@ -105,11 +107,19 @@
 	if checkOnly {
 		return nil, nil
 	}
-	log, err := logger.New(os.Stderr, s.LogLevel)
+	// The level is set by the settings, which may change while it runs.
+	log, err := logger.New(os.Stderr, zerolog.LevelDebugValue)
+	if err != nil {
+		return nil, err
+	}
+	e, err := composer.New(s, log)
 	if err != nil {
 		return nil, err
 	}
-	return composer.New(s, log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	e.SettingsPath, e.Hangups = path, hangups
+	return e, nil
 }
 
 // fail prints err on one line and exits.
