Bound the cost of state frames; let entries own upstreams by their cores

Cause: on the grown site (30 entries of 0.144 to 0.8 cores, 350 upstreams) each entry sent every change to 29 peers within 3 ms and looked through all upstreams at each; entries used 0.13 cores in the mean, small ones were the bottleneck.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -157,9 +157,12 @@
 	if len(moved) > 0 {
 		out = c.reattach(func(t *task) bool { return moved[t.upstream] && t.owner != owner })
 	}
+	waiting := len(c.waiting) > 0 || c.begunCores() > 0
 	c.mu.Unlock()
 	c.emit(out)
-	c.Wake()
+	if waiting {
+		c.Wake()
+	}
 }
 
 // Taken notes how many requests a peer took.
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -127,6 +127,9 @@
 // startWaiting starts the jobs that fit, by rank, and refuses those that are
 // too late.
 func (c *Coordinator) startWaiting(now time.Time) []message {
+	if len(c.waiting) == 0 {
+		return nil
+	}
 	var out []message
 	ahead, rate := 0.0, c.rate(now)
 	c.sortWaiting()
--- a/lib/loader/loader.go
+++ b/lib/loader/loader.go
@@ -15,6 +15,7 @@
 	"bytes"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -174,6 +175,18 @@
 	}
 }
 
+// Number accepts numbers from low to high, written as text such as "0.4".
+func Number(low, high float64) func(any) error {
+	return func(v any) error {
+		s, _ := v.(string)
+		n, err := strconv.ParseFloat(s, 64)
+		if err != nil || n < low || n > high {
+			return errors.Errorf("allowed is a number from %v to %v, such as \"0.4\"", low, high)
+		}
+		return nil
+	}
+}
+
 // OneOf accepts the given words.
 func OneOf(words ...string) func(any) error {
 	return func(v any) error {
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -56,8 +56,8 @@
 	return true
 }
 
-// publish marks the state of an upstream as changed.
-func (p *peer) publish(upstream string) {
+// publish marks the state of an upstream as changed; it is sent after the delay.
+func (p *peer) publish(upstream string, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.out {
@@ -66,7 +66,7 @@
 	p.changed[upstream] = true
 	if !p.timed {
 		p.timed = true
-		time.AfterFunc(stateDelay, p.signal)
+		time.AfterFunc(delay, p.signal)
 	}
 }
 
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 16 << 10
+	// memoryShare is the part of the VM's memory, in percent, at which the
+	// collector works harder; the rest is for buffers of the kernel.
+	memoryShare = 70
 	// abandonGrace is how long the runs of a silent peer go on; connections that
 	// were reset are back by then.
 	abandonGrace = 150 * time.Millisecond
@@ -91,11 +95,12 @@
 func New(s *Settings, log zerolog.Logger) (*Entry, error) {
 	e := &Entry{Settings: s, Log: log.With().Str("entry", s.Name).Logger()}
 	e.adopt(s)
+	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
 	started := time.Now()
 	e.self = &wire.Registration{
 		Name: s.Name, Incarnation: fmt.Sprintf("%x-%x-%08x", started.UnixNano(), os.Getpid(), rand.Uint32()),
 		FailureDomain: s.FailureDomain, EntryAddress: s.EntryAddress, OperatorAddress: s.OperatorAddress,
-		Weight: uint32(s.Weight), StartedAt: timestamppb.New(started),
+		Weight: s.weight(), StartedAt: timestamppb.New(started),
 	}
 	e.registry = prometheus.NewRegistry()
 	e.registry.MustRegister(collectors.NewGoCollector())
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,7 +21,7 @@
 	OperatorAddress  string `toml:"operator_address"`
 	PlatformAddress  string `toml:"platform_address"`
 	LogLevel         string `toml:"log_level"`
-	Weight           int    `toml:"weight"`
+	Cores            string `toml:"cores"`
 	MemoryMB         int    `toml:"memory_mb"`
 	BalancerWait     string `toml:"balancer_wait"`
 	DrainLimit       string `toml:"drain_limit"`
@@ -36,7 +38,7 @@
 		{Key: "operator_address", Value: &s.OperatorAddress, Check: loader.Address},
 		{Key: "platform_address", Value: &s.PlatformAddress, Check: loader.Address},
 		{Key: "log_level", Value: &s.LogLevel, Default: "info", Check: loader.OneOf("debug", "info", "warn", "error")},
-		{Key: "weight", Value: &s.Weight, Default: 1, Check: loader.Between(1, 100)},
+		{Key: "cores", Value: &s.Cores, Default: "1", Check: loader.Number(0.01, 1024)},
 		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.Between(32, 1<<20)},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.Span(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.Span(time.Second, time.Hour)},
@@ -84,7 +86,7 @@
 	}
 }
 
-// adopt puts settings in force. Name, addresses and weight need a new start.
+// adopt puts settings in force. Name, addresses and size need a new start.
 func (e *Entry) adopt(s *Settings) {
 	if old := e.current.Swap(s); old != nil {
 		e.Log.Info().Str("balancer_wait", s.BalancerWait).Str("drain_limit", s.DrainLimit).Str("log_level", s.LogLevel).
@@ -105,3 +107,13 @@
 	out.BalancerWait, out.DrainLimit, out.LogLevel = "", "", ""
 	return out
 }
+
+// weightPerCore is the share in the upstreams for one core; a tenth of a core
+// makes two parts.
+const weightPerCore = 20
+
+// weight is the entry's share in the upstreams beside the others.
+func (s *Settings) weight() uint32 {
+	cores, _ := strconv.ParseFloat(s.Cores, 64)
+	return uint32(max(1, math.Round(cores*weightPerCore)))
+}
