Write logs off the path, name what a failed job missed, publish gauges

Cause: a reader that takes no output would have held up every entry, a flood of refusals filled the log, and a failed job's line did not say where it failed.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -60,8 +60,9 @@
 	// Log receives events.
 	Log zerolog.Logger
 
-	wake chan struct{}
-	ctx  context.Context
+	wake     chan struct{}
+	ctx      context.Context
+	refusals zerolog.Logger
 
 	mu       sync.Mutex
 	jobs     map[string]*job
@@ -86,6 +87,7 @@
 // Init prepares the coordinator; it is called once before any other method.
 func (c *Coordinator) Init(ctx context.Context) {
 	c.ctx = ctx
+	c.refusals = c.Log.Sample(&zerolog.BurstSampler{Burst: refusalsPerSecond, Period: time.Second})
 	c.wake = make(chan struct{}, 1)
 	c.jobs, c.sites = make(map[string]*job), make(map[string]*site)
 	c.links, c.kinds = make(map[string]*link), make(map[string]*kind)
@@ -204,13 +206,24 @@
 	if c.Observer != nil {
 		c.Observer.Job(j.Kind, a.State.String(), a.Reason, now.Sub(j.Arrived))
 	}
-	if a.State != Complete {
-		c.Log.Info().Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
-			Dur("after", now.Sub(j.Arrived)).Int("tasks", j.Tasks).Int("done", j.done).Int("placed", j.placed).
-			Int("waiting", len(c.waiting)).Msg("job_ended")
+	late := now.Sub(j.Due)
+	if a.State == Complete && late <= 0 {
+		return
 	}
+	log := &c.Log
+	if a.State == Refused {
+		// Refusals come in floods; the counters hold them all.
+		log = &c.refusals
+	}
+	log.Info().Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
+		Int64("after_ms", now.Sub(j.Arrived).Milliseconds()).Int64("late_ms", late.Milliseconds()).
+		Int("tasks", j.Tasks).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.begun).
+		Strs("missed_at", j.missed()).Int("waiting", len(c.waiting)).Msg("job_ended")
 }
 
+// refusalsPerSecond bounds the lines about refused jobs.
+const refusalsPerSecond = 20
+
 // refuse answers a job of which nothing was started.
 func (c *Coordinator) refuse(j *job, reason string) Answer {
 	a := Answer{State: Refused, Reason: reason, RetryAfter: longestRetry}
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -130,3 +131,19 @@
 	}
 	return j.Due
 }
+
+// missed names the upstreams where runs went wrong and those where runs are at
+// work.
+func (j *job) missed() []string {
+	var out []string
+	for _, t := range j.tasks {
+		for name := range t.avoid {
+			out = append(out, name)
+		}
+		if t.placed {
+			out = append(out, t.upstream)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/lib/logger/logger.go
+++ b/lib/logger/logger.go
@@ -17,6 +17,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 // timeFormat is RFC 3339 in UTC with milliseconds.
@@ -28,7 +29,26 @@
 	if err != nil || level == "" {
 		return zerolog.Nop(), errors.Errorf("log level %q is none of debug, info, warn, error", level)
 	}
-	out := zerolog.ConsoleWriter{
+	return zerolog.New(console(w)).Level(l).Hook(stamp{}), nil
+}
+
+// queueLength is the number of events that wait for a slow reader; about ten
+// seconds of events of a busy entry.
+const queueLength = 2000
+
+// NewAsync is New for programs that must not wait for the reader of their logs.
+// Events that find the queue full are left out and counted through missed.
+func NewAsync(w io.Writer, level string, missed func(n int)) (zerolog.Logger, error) {
+	l, err := New(w, level)
+	if err != nil {
+		return l, err
+	}
+	return l.Output(diode.NewWriter(console(w), queueLength, 0, missed)), nil
+}
+
+// console formats events as key=value pairs.
+func console(w io.Writer) zerolog.ConsoleWriter {
+	return zerolog.ConsoleWriter{
 		Out:             w,
 		NoColor:         true,
 		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
@@ -36,7 +56,6 @@
 		FormatMessage:   func(v any) string { return fmt.Sprintf("event=%v", v) },
 		FormatFieldName: func(v any) string { return fmt.Sprintf("%v=", v) },
 	}
-	return zerolog.New(out).Level(l).Hook(stamp{}), nil
 }
 
 // stamp adds the time to each event, in UTC with milliseconds.
--- /dev/null
+++ b/lib/logger/logger_test.go
@@ -0,0 +1,63 @@
+package logger_test
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"radishweir.org/lib/logger"
+)
+
+// A reader that takes nothing does not hold up whoever logs.
+func TestUnreadOutput(t *testing.T) {
+	r, w := io.Pipe()
+	defer func() { _ = r.Close() }()
+	var mu sync.Mutex
+	missed := 0
+	log, err := logger.NewAsync(w, "info", func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		missed += n
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 10000 {
+			log.Info().Int("n", i).Msg("event")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("logging waits for its reader")
+	}
+	// The loss is told once the reader is back.
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		mu.Lock()
+		n := missed
+		mu.Unlock()
+		if n > 0 {
+			return
+		}
+	}
+	t.Error("10,000 events went into a queue of 2,000 and none was counted as missed")
+}
+
+func TestFormat(t *testing.T) {
+	var out strings.Builder
+	log, err := logger.New(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Debug().Msg("hidden")
+	log.Info().Str("service", "claims").Msg("started")
+	if got := out.String(); !strings.Contains(got, "level=info event=started service=claims") || strings.Contains(got, "hidden") {
+		t.Errorf("got %q", got)
+	}
+}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -91,8 +91,9 @@
 	down     sync.Map
 }
 
-// New builds an entry and binds its sockets.
-func New(s *Settings, log zerolog.Logger) (*Entry, error) {
+// New builds an entry and binds its sockets. Missed counts log events that were
+// left out.
+func New(s *Settings, log zerolog.Logger, missed *atomic.Int64) (*Entry, error) {
 	e := &Entry{Settings: s, Log: log.With().Str("entry", s.Name).Logger()}
 	e.adopt(s)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
@@ -104,6 +105,7 @@
 	}
 	e.registry = prometheus.NewRegistry()
 	e.registry.MustRegister(collectors.NewGoCollector())
+	e.registerGauges(missed)
 	rec := recorder.New(e.registry)
 	e.store = adapter.NewClient(s.PlatformAddress, rec)
 	e.router = &router.Router{Log: e.Log}
--- /dev/null
+++ b/radishweir/internal/composer/gauges.go
@@ -0,0 +1,43 @@
+package composer
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// registerGauges registers what is read off the parts when metrics are fetched.
+func (e *Entry) registerGauges(missed *atomic.Int64) {
+	f := promauto.With(e.registry)
+	gauge := func(name, help string, value func() float64) {
+		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "radishweir", Name: name, Help: help}, value)
+	}
+	gauge("log_events_missed", "Log events left out since the start.", func() float64 { return float64(missed.Load()) })
+	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
+		t, _ := e.router.Table()
+		return float64(t.Version)
+	})
+	gauge("upstream_list_age_seconds", "Time since the store told something of the upstreams.", func() float64 {
+		return time.Since(e.roster.ReadAt()).Seconds()
+	})
+	gauge("jobs_open", "Jobs without an answer.", func() float64 {
+		open, _ := e.coordinator.Counts()
+		return float64(open)
+	})
+	gauge("jobs_waiting", "Jobs that have not begun.", func() float64 {
+		_, waiting := e.coordinator.Counts()
+		return float64(waiting)
+	})
+	gauge("upstreams_owned", "Upstreams that this entry owns.", func() float64 { return float64(len(e.runner.States())) })
+	gauge("upstreams_usable", "Owned upstreams that take new runs.", func() float64 {
+		n := 0
+		for _, s := range e.runner.States() {
+			if s.GetUsable() {
+				n++
+			}
+		}
+		return float64(n)
+	})
+}
--- a/radishweir/main.go
+++ b/radishweir/main.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -108,11 +109,12 @@
 		return nil, nil
 	}
 	// The level is set by the settings, which may change while it runs.
-	log, err := logger.New(os.Stderr, zerolog.LevelDebugValue)
+	missed := &atomic.Int64{}
+	log, err := logger.NewAsync(os.Stderr, zerolog.LevelDebugValue, func(n int) { missed.Add(int64(n)) })
 	if err != nil {
 		return nil, err
 	}
-	e, err := composer.New(s, log)
+	e, err := composer.New(s, log, missed)
 	if err != nil {
 		return nil, err
 	}
