--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -53,10 +53,12 @@
 	// Self is the name of this entry.
 	Self string
 	// Domain is its failure domain.
-	Domain   string
-	Local    Local
-	Remote   Remote
-	Observer Observer
+	Domain string
+	// PeerSilence is how long a peer may be silent before it is down.
+	PeerSilence time.Duration
+	Local       Local
+	Remote      Remote
+	Observer    Observer
 	// Log receives events.
 	Log zerolog.Logger
 
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -3,15 +3,17 @@
 import (
 	"time"
 
-	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/packer"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
 )
 
+// peerStop is the time that a peer that noticed the silence takes to stop runs.
+const peerStop = 150 * time.Millisecond
+
 // lostAfter is the time after which every run at a silent peer is over: the
-// peer notices the silence and stops the runs, or leases run out.
-const lostAfter = messenger.SilenceLimit + runner.LeaseTime + 150*time.Millisecond
+// peer notices the silence and stops the runs, or their leases run out.
+func (c *Coordinator) lostAfter() time.Duration { return c.PeerSilence + runner.LeaseTime + peerStop }
 
 // site is an upstream as this entry sees it.
 type site struct {
@@ -191,7 +193,7 @@
 	if l := c.links[peer]; l != nil {
 		l.taken(l.number)
 		l.up = false
-		l.lost = time.Now().Add(lostAfter)
+		l.lost = time.Now().Add(c.lostAfter())
 	}
 	for _, s := range c.sites {
 		if s.owner == peer {
@@ -200,7 +202,7 @@
 	}
 }
 
-// lose ends the runs at peers that have been silent for lostAfter; the caller
+// lose ends the runs at peers that have been silent for that long; the caller
 // holds the lock.
 func (c *Coordinator) lose(now time.Time) []message {
 	var out []message
--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -14,9 +14,7 @@
 package enroller
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +24,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"radishweir.org/lib/platform"
+	"radishweir.org/lib/retainer"
 	"radishweir.org/lib/watcher"
 	"radishweir.org/lib/wire"
 )
@@ -43,14 +42,6 @@
 	outageGrace = 1500 * time.Millisecond
 )
 
-// member is a registered entry.
-type member struct {
-	*wire.Registration
-	// until is the end of the grace of a missing registration; zero while it is
-	// there.
-	until time.Time
-}
-
 // Enroller keeps the registrations. Exported fields are set before Run.
 type Enroller struct {
 	// Self is the registration of this entry.
@@ -62,10 +53,8 @@
 	// Log receives events.
 	Log zerolog.Logger
 
-	mu      sync.Mutex
-	members map[string]member
-	// reset is the end of the grace after the last full read.
-	reset    time.Time
+	mu       sync.Mutex
+	members  retainer.Retainer[*wire.Registration]
 	revision int64
 	lease    int64
 	missing  bool
@@ -143,15 +132,16 @@
 func (e *Enroller) Apply(u watcher.Update) {
 	e.mu.Lock()
 	now := time.Now()
-	if u.Reset {
-		e.suspect(now)
+	e.members.Grace = outageGrace
+	if u.Reset && e.members.Reset(now) {
+		time.AfterFunc(outageGrace, func() { e.Changed() })
 	}
 	for _, v := range u.Events {
 		e.apply(v, now)
 	}
 	e.revision = max(e.revision, u.Revision)
-	self, there := e.members[e.Self.GetName()]
-	e.missing = e.lease != 0 && (!there || !self.until.IsZero() || self.GetIncarnation() != e.Self.GetIncarnation())
+	self, there := e.members.Get(e.Self.GetName())
+	e.missing = e.lease != 0 && (!there || self.GetIncarnation() != e.Self.GetIncarnation())
 	missing, wake := e.missing, e.wake
 	e.mu.Unlock()
 	if missing && wake != nil {
@@ -163,34 +153,12 @@
 	e.Changed()
 }
 
-// suspect lets every registration lapse after the grace unless it is there; the
-// caller holds the lock.
-func (e *Enroller) suspect(now time.Time) {
-	if e.members == nil {
-		e.members = make(map[string]member)
-		return
-	}
-	e.reset = now.Add(outageGrace)
-	for name, m := range e.members {
-		if m.until.IsZero() {
-			m.until = e.reset
-			e.members[name] = m
-		}
-	}
-	time.AfterFunc(outageGrace, func() { e.Changed() })
-}
-
 // apply takes one change; the caller holds the lock.
 func (e *Enroller) apply(v platform.Event, now time.Time) {
 	name := v.Key[len(platform.EntryPrefix):]
 	e.revision = max(e.revision, v.Revision)
 	if v.Deleted {
-		if m, ok := e.members[name]; ok && now.Before(e.reset) {
-			m.until = e.reset
-			e.members[name] = m
-		} else {
-			delete(e.members, name)
-		}
+		e.members.Drop(name, now)
 		e.Log.Info().Str("entry", name).Int64("revision", v.Revision).Msg("member_left")
 		return
 	}
@@ -199,7 +167,7 @@
 		e.Log.Error().Str("key", v.Key).Err(err).Msg("registration_unreadable")
 		return
 	}
-	e.members[name] = member{Registration: g}
+	e.members.Put(name, g)
 	e.Log.Info().Str("entry", name).Int64("revision", v.Revision).Msg("member_joined")
 }
 
@@ -208,15 +176,5 @@
 func (e *Enroller) Members() ([]*wire.Registration, int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := make([]*wire.Registration, 0, len(e.members))
-	now := time.Now()
-	for name, m := range e.members {
-		if !m.until.IsZero() && !now.Before(m.until) {
-			delete(e.members, name)
-			continue
-		}
-		out = append(out, m.Registration)
-	}
-	slices.SortFunc(out, func(a, b *wire.Registration) int { return cmp.Compare(a.GetName(), b.GetName()) })
-	return out, e.revision
+	return e.members.All(time.Now()), e.revision
 }
--- /dev/null
+++ b/lib/enroller/enroller_test.go
@@ -0,0 +1,106 @@
+package enroller_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/enroller"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/watcher"
+	"radishweir.org/lib/wire"
+)
+
+// store counts registrations.
+type store struct {
+	platform.Store
+	mu     sync.Mutex
+	leases int64
+	writes int
+}
+
+func (s *store) Grant(context.Context, int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return s.leases, nil
+}
+
+func (s *store) KeepAlive(context.Context, int64) (bool, error) { return true, nil }
+
+func (s *store) Swap(context.Context, ...platform.Write) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	return int64(s.writes), nil
+}
+
+// count returns the number of registrations.
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// event registers or removes an entry.
+func event(t *testing.T, name string, revision int64, deleted bool) platform.Event {
+	t.Helper()
+	data, err := protojson.Marshal(&wire.Registration{Name: name, Incarnation: "1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Event{KeyValue: platform.KeyValue{Key: platform.EntryPrefix + name, Value: data, Revision: revision}, Deleted: deleted}
+}
+
+func TestRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		e := &enroller.Enroller{
+			Self: &wire.Registration{Name: "me", Incarnation: "1"}, Store: s, Changed: func() {}, Log: zerolog.Nop(),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go e.Run(ctx)
+		time.Sleep(5 * time.Second)
+		if n := s.count(); n != 1 {
+			t.Errorf("%d registrations while the lease lives, want 1", n)
+		}
+		e.Apply(watcher.Update{Reset: true, Revision: 7, Events: []platform.Event{event(t, "me", 3, false), event(t, "peer", 4, false)}})
+		if list, token := e.Members(); len(list) != 2 || token != 7 {
+			t.Errorf("%d members, token %d; want 2 and 7", len(list), token)
+		}
+		// Somebody took the key away although the lease lives.
+		e.Apply(watcher.Update{Revision: 9, Events: []platform.Event{event(t, "me", 9, true)}})
+		time.Sleep(time.Second)
+		if n := s.count(); n != 2 {
+			t.Errorf("%d registrations after the key was removed, want 2", n)
+		}
+		if list, token := e.Members(); len(list) != 1 || token != 9 {
+			t.Errorf("%d members, token %d; want 1 and 9", len(list), token)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Registrations that lapsed while the store was away count until their entries
+// had time to come back.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &enroller.Enroller{Self: &wire.Registration{Name: "me"}, Changed: func() {}, Log: zerolog.Nop()}
+		e.Apply(watcher.Update{Reset: true, Revision: 2, Events: []platform.Event{event(t, "a", 1, false), event(t, "b", 2, false)}})
+		time.Sleep(time.Minute)
+		e.Apply(watcher.Update{Reset: true, Revision: 5, Events: []platform.Event{event(t, "a", 4, false)}})
+		if list, _ := e.Members(); len(list) != 2 {
+			t.Errorf("%d members right after the outage, want 2", len(list))
+		}
+		time.Sleep(2 * time.Second)
+		if list, _ := e.Members(); len(list) != 1 {
+			t.Errorf("%d members after the grace, want 1", len(list))
+		}
+	})
+}
--- a/lib/loader/values.go
+++ b/lib/loader/values.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"time"
 )
 
 // assign stores the default v at the pointer p.
@@ -42,4 +43,10 @@
 	return fmt.Sprint(v)
 }
 
+// Duration returns the duration of a setting that Span has checked.
+func Duration(s string) time.Duration {
+	d, _ := time.ParseDuration(s)
+	return d
+}
+
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -35,6 +35,7 @@
 	response          *prometheus.HistogramVec
 	refusedHandshakes prometheus.Counter
 	jobs              *prometheus.CounterVec
+	orders            *prometheus.CounterVec
 	answer            *prometheus.HistogramVec
 }
 
@@ -58,6 +59,7 @@
 		wait:     histogram("queue_wait_seconds", "Time that tasks waited for a slot."),
 		run:      histogram("upstream_seconds", "Time that upstreams took for a task."),
 		response: histogram("response_seconds", "Time from a submission to its answer."),
+		orders:   counter("upstream_orders_total", "Orders to leased upstreams by result.", "kind", "result"),
 		jobs:     counter("jobs_total", "Jobs by outcome.", "kind", "state", "reason"),
 		answer: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "answer_seconds", Help: "Time from a submission to its answer.", Buckets: runBuckets,
@@ -74,6 +76,11 @@
 	r.answer.WithLabelValues(kind).Observe(total.Seconds())
 }
 
+// Order counts one order to a leased upstream.
+func (r *Recorder) Order(kind, result string) {
+	r.orders.WithLabelValues(kind, result).Inc()
+}
+
 // Message counts one message to an upstream of the given kind.
 func (r *Recorder) Message(service, tenant, kind string) {
 	r.messages.WithLabelValues(service, tenant, kind).Inc()
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -13,13 +13,13 @@
 package roster
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/retainer"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/watcher"
 )
@@ -28,14 +28,6 @@
 // was away (the platform's page says about two seconds).
 const outageGrace = 2500 * time.Millisecond
 
-// record is one upstream of the list.
-type record struct {
-	runner.Upstream
-	// until is the end of the grace of a missing registration; zero while it is
-	// there.
-	until time.Time
-}
-
 // Roster holds the list. Exported fields are set before Apply.
 type Roster struct {
 	// Decode reads a registration.
@@ -45,39 +37,22 @@
 	// Log receives events.
 	Log zerolog.Logger
 
-	mu      sync.Mutex
-	records map[string]record
-	reset   time.Time
-	at      time.Time
+	mu   sync.Mutex
+	list retainer.Retainer[runner.Upstream]
+	at   time.Time
 }
 
 // Apply takes registrations from the store.
 func (r *Roster) Apply(u watcher.Update) {
 	now := time.Now()
 	r.mu.Lock()
-	if u.Reset {
-		r.suspect(now)
+	r.list.Grace = outageGrace
+	if u.Reset && r.list.Reset(now) {
+		time.AfterFunc(outageGrace, func() { r.Changed() })
 	}
 	changed := u.Reset
 	for _, e := range u.Events {
-		if e.Deleted {
-			changed = r.remove(e.Key, now) || changed
-			continue
-		}
-		up, err := r.Decode(e.Key, e.Value)
-		if err != nil {
-			r.Log.Debug().Str("key", e.Key).Err(err).Msg("upstream_unreadable")
-			changed = r.remove(e.Key, now) || changed
-			continue
-		}
-		old, known := r.records[e.Key]
-		r.records[e.Key] = record{Upstream: up}
-		if !known || old.Upstream != up || !old.until.IsZero() {
-			changed = true
-		}
-		if !known || old.Leaving != up.Leaving {
-			r.Log.Info().Str("upstream", up.Name).Bool("leaving", up.Leaving).Msg("upstream_listed")
-		}
+		changed = r.apply(e, now) || changed
 	}
 	r.at = now
 	r.mu.Unlock()
@@ -86,56 +61,37 @@
 	}
 }
 
-// suspect lets every record lapse after the grace unless it is listed; the
-// caller holds the lock.
-func (r *Roster) suspect(now time.Time) {
-	if r.records == nil {
-		r.records = make(map[string]record)
-		return
-	}
-	r.reset = now.Add(outageGrace)
-	for key, v := range r.records {
-		if v.until.IsZero() {
-			v.until = r.reset
-			r.records[key] = v
+// apply takes one change and reports whether the list is another; the caller
+// holds the lock.
+func (r *Roster) apply(e platform.Event, now time.Time) bool {
+	if !e.Deleted {
+		up, err := r.Decode(e.Key, e.Value)
+		if err == nil {
+			return r.put(e.Key, up)
 		}
+		r.Log.Debug().Str("key", e.Key).Err(err).Msg("upstream_unreadable")
 	}
-	time.AfterFunc(outageGrace, func() { r.Changed() })
+	gone := r.list.Drop(e.Key, now)
+	if gone {
+		r.Log.Info().Str("key", e.Key).Msg("upstream_gone")
+	}
+	return gone
 }
 
-// remove drops a record, after the grace if the store was away; the caller
-// holds the lock.
-func (r *Roster) remove(key string, now time.Time) bool {
-	v, ok := r.records[key]
-	if !ok {
-		return false
+// put takes one registration; the caller holds the lock.
+func (r *Roster) put(key string, up runner.Upstream) bool {
+	old, whole := r.list.Put(key, up)
+	if !whole || old.Leaving != up.Leaving {
+		r.Log.Info().Str("upstream", up.Name).Bool("leaving", up.Leaving).Msg("upstream_listed")
 	}
-	if now.Before(r.reset) {
-		v.until = r.reset
-		r.records[key] = v
-		return false
-	}
-	delete(r.records, key)
-	r.Log.Info().Str("upstream", v.Name).Msg("upstream_gone")
-	return true
+	return !whole || old != up
 }
 
-// Upstreams returns the list by name.
+// Upstreams returns the list by key.
 func (r *Roster) Upstreams() []runner.Upstream {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]runner.Upstream, 0, len(r.records))
-	for key, v := range r.records {
-		if !v.until.IsZero() && !now.Before(v.until) {
-			delete(r.records, key)
-			r.Log.Info().Str("upstream", v.Name).Msg("upstream_gone")
-			continue
-		}
-		out = append(out, v.Upstream)
-	}
-	slices.SortFunc(out, func(a, b runner.Upstream) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return r.list.All(time.Now())
 }
 
 // ReadAt returns the time of the last news from the store.
--- a/radishweir/internal/assembler/drain.go
+++ b/radishweir/internal/assembler/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"os"
 	"time"
+
+	"radishweir.org/lib/loader"
 )
 
 const (
@@ -24,7 +26,7 @@
 // the shards, end of the open jobs and of the callers' requests.
 func (e *Entry) drain(ctx context.Context, signals <-chan os.Signal) {
 	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, duration(e.DrainLimit))
+	ctx, cancel := context.WithTimeout(ctx, loader.Duration(e.DrainLimit))
 	defer cancel()
 	go func() {
 		select {
@@ -35,7 +37,7 @@
 		}
 	}()
 	e.heartbeater.Round(ctx, true)
-	pause(ctx, duration(e.BalancerWait))
+	pause(ctx, loader.Duration(e.BalancerWait))
 	e.handOver(ctx)
 	e.finish(ctx)
 	e.entryServer.Shutdown(ctx)
--- a/radishweir/internal/assembler/settings.go
+++ b/radishweir/internal/assembler/settings.go
@@ -75,9 +75,3 @@
 	s := &Settings{}
 	return s, loader.Load(path, s, s.fields())
 }
-
-// duration returns a checked duration.
-func duration(s string) time.Duration {
-	d, _ := time.ParseDuration(s)
-	return d
-}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -117,12 +117,13 @@
 
 // buildWork builds the parts that run jobs.
 func (e *Entry) buildWork(rec *recorder.Recorder) {
-	e.runner = &runner.Runner{Client: &adapter.Upstreams{}, Ended: e.ended, Changed: e.changed, Log: e.Log}
+	e.runner = &runner.Runner{Client: &adapter.Upstreams{Counter: rec}, Ended: e.ended, Changed: e.changed, Log: e.Log}
 	e.messenger = &messenger.Messenger{
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
 	}
 	e.coordinator = &coordinator.Coordinator{
-		Self: e.Name, Domain: e.FailureDomain, Local: e.runner, Remote: e.messenger, Observer: rec, Log: e.Log,
+		Self: e.Name, Domain: e.FailureDomain, PeerSilence: messenger.SilenceLimit,
+		Local: e.runner, Remote: e.messenger, Observer: rec, Log: e.Log,
 	}
 }
 
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"radishweir.org/lib/loader"
 )
 
 const (
@@ -16,7 +18,7 @@
 // balancer wait, end of the open jobs.
 func (e *Entry) drain(ctx context.Context) {
 	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, duration(e.current.Load().DrainLimit))
+	ctx, cancel := context.WithTimeout(ctx, loader.Duration(e.current.Load().DrainLimit))
 	defer cancel()
 	e.enroller.Stop()
 	leaving, done := context.WithTimeout(ctx, leaveTimeout)
@@ -26,7 +28,7 @@
 	done()
 	select {
 	case <-ctx.Done():
-	case <-time.After(duration(e.current.Load().BalancerWait)):
+	case <-time.After(loader.Duration(e.current.Load().BalancerWait)):
 	}
 	if err := e.callers.Shutdown(ctx); err != nil {
 		open, _ := e.coordinator.Counts()
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -51,12 +51,6 @@
 	return s, loader.Load(path, s, s.fields())
 }
 
-// duration returns a checked duration.
-func duration(s string) time.Duration {
-	d, _ := time.ParseDuration(s)
-	return d
-}
-
 // settingsInterval is the time between two looks at the settings file, which
 // may change without a signal.
 const settingsInterval = time.Second
