Remember answered jobs for ten seconds; number runs on

Cause: a job that arrives again seconds after its answer (PROTOCOL: it remains one job) ran a second time at the same entry; runs of a job that came again had the numbers of the former ones, so late news of those could be taken for theirs. Change: an entry keeps answers and run numbers for 10 s, 20,000 jobs at most; a complete or failed job is answered again, others run with higher numbers.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -73,6 +73,9 @@
 	services map[string][]*site
 	links    map[string]*link
 	kinds    map[string]*kind
+	// past holds answered jobs for pastMemory.
+	past  map[string]past
+	swept time.Time
 	// started counts core-seconds of started work, rooms the cores.
 	started flow
 	rooms   flow
@@ -92,6 +95,7 @@
 	c.refusals = c.Log.Sample(&zerolog.BurstSampler{Burst: refusalsPerSecond, Period: time.Second})
 	c.wake = make(chan struct{}, 1)
 	c.jobs, c.sites = make(map[string]*job), make(map[string]*site)
+	c.past = make(map[string]past)
 	c.links, c.kinds = make(map[string]*link), make(map[string]*kind)
 }
 
@@ -124,7 +128,12 @@
 	c.mu.Lock()
 	j := c.jobs[in.ID]
 	if j == nil {
-		j = newJob(in)
+		past := c.past[in.ID]
+		if past.answer.State == Complete || past.answer.State == Failed {
+			c.mu.Unlock()
+			return past.answer
+		}
+		j = newJob(in, past.run)
 		if !c.possible(j) {
 			c.mu.Unlock()
 			return c.refuse(j, "no upstream is large enough")
@@ -185,6 +194,7 @@
 // caller holds the lock.
 func (c *Coordinator) close(j *job, a Answer) []message {
 	delete(c.jobs, j.ID)
+	c.remember(j, a)
 	if i := slices.Index(c.waiting, j); i >= 0 {
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 	}
--- a/lib/coordinator/coordinator_test.go
+++ b/lib/coordinator/coordinator_test.go
@@ -390,3 +390,56 @@
 		}
 	})
 }
+
+// A job that comes again after its answer gets the same answer and does not run
+// again.
+func TestSameJobAfterItsAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 2)
+		for range 2 {
+			s.submit(ctx, "check", "a", 2, 100*time.Millisecond, 3*time.Second)
+			time.Sleep(2 * time.Second)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.answers) != 2 || s.answers[1].state != coordinator.Complete || s.answers[1].after > time.Millisecond {
+			t.Errorf("got %v", s.answers)
+		}
+		if n := s.fleet.Starts("a.0.0.0"); n != 1 {
+			t.Errorf("%d starts, want 1", n)
+		}
+	})
+}
+
+// When a job comes again after its caller left, its runs have higher numbers, so
+// that late news of the former ones are not taken for theirs.
+func TestRunNumbersRise(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sent := &requests{}
+		c := &coordinator.Coordinator{Self: "entry-1", Remote: sent, Log: zerolog.Nop()}
+		c.Init(ctx)
+		go c.Run(ctx)
+		c.Upstreams([]runner.Upstream{{Name: "u0", Service: "claims", Capacity: packer.Amount{CPU: 16000, Memory: 1000}}})
+		c.Up("entry-2", 1)
+		c.Update("entry-2", true, []*wire.UpstreamState{{
+			Upstream: "u0", Free: &wire.Amount{Cpu: 16000, Memory: 1000}, Slowness: 1, Usable: true, Token: 1,
+		}})
+		var last uint64
+		for range 2 {
+			call, leave := context.WithCancel(ctx)
+			now := time.Now()
+			go c.Submit(call, coordinator.Job{
+				ID: "a", Kind: "check", Service: "claims", Tasks: 1, Need: need, Expected: time.Second,
+				Arrived: now, Due: now.Add(2 * time.Second), Until: now.Add(3 * time.Second), MaxFailures: 3,
+			})
+			time.Sleep(10 * time.Millisecond)
+			q, _ := sent.last()
+			if q.GetRun() <= last {
+				t.Errorf("run %d after run %d", q.GetRun(), last)
+			}
+			last = q.GetRun()
+			leave()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -101,10 +101,11 @@
 	joined int
 }
 
-func newJob(j Job) *job {
+// newJob opens a job whose runs are numbered after the given one.
+func newJob(j Job, run uint64) *job {
 	out := &job{Job: j, answer: make(chan Answer, 1), tasks: make([]*task, j.Tasks)}
 	for i := range out.tasks {
-		out.tasks[i] = &task{job: out, index: i}
+		out.tasks[i] = &task{job: out, index: i, run: run}
 	}
 	return out
 }
--- /dev/null
+++ b/lib/coordinator/past.go
@@ -0,0 +1,47 @@
+package coordinator
+
+import "time"
+
+const (
+	// pastMemory is how long an answered job is remembered; callers send again
+	// within seconds.
+	pastMemory = 10 * time.Second
+	// pastLimit bounds the remembered jobs; at the peak of today's sites an entry
+	// answers fewer in pastMemory.
+	pastLimit = 20000
+)
+
+// past is what is remembered of an answered job.
+type past struct {
+	answer Answer
+	// run is the highest number of its runs.
+	run   uint64
+	until time.Time
+}
+
+// remember keeps the answer and the run numbers of a job for when it comes
+// again; the caller holds the lock.
+func (c *Coordinator) remember(j *job, a Answer) {
+	now := time.Now()
+	c.forget(now)
+	p := past{answer: a, until: now.Add(pastMemory)}
+	for _, t := range j.tasks {
+		p.run = max(p.run, t.run)
+	}
+	if p.run > 0 && len(c.past) < pastLimit {
+		c.past[j.ID] = p
+	}
+}
+
+// forget drops what is too old, once a second; the caller holds the lock.
+func (c *Coordinator) forget(now time.Time) {
+	if now.Sub(c.swept) < time.Second {
+		return
+	}
+	c.swept = now
+	for id, p := range c.past {
+		if now.After(p.until) {
+			delete(c.past, id)
+		}
+	}
+}
