Take test ports from below the range of outgoing connections

Ruled out: load as such (the process said so in its first line and ended). Change: test ports are taken from 12000 to 29999, below that range (32768 on).

--- a/lib/messenger/messenger_test.go
+++ b/lib/messenger/messenger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -82,17 +84,13 @@
 // start runs a messenger on loopback.
 func start(t *testing.T, name string) (*messenger.Messenger, *handler, context.CancelFunc) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
 	h := &handler{}
-	m := &messenger.Messenger{Name: name, Address: address, Handler: h, Log: zerolog.Nop()}
-	if err := m.Listen(); err != nil {
-		t.Fatal(err)
-	}
+	m := &messenger.Messenger{Name: name, Handler: h, Log: zerolog.Nop()}
+	eventually(t, "a free port", func() bool {
+		// Below the range of the ports of outgoing connections.
+		m.Address = fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		return m.Listen() == nil
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = m.Run(ctx) }()
 	return m, h, cancel
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -85,15 +86,23 @@
 	vms       []map[string]any
 }
 
+// firstPort and ports bound the ports of the tests. They lie below the range
+// from which kernels take the ports of outgoing connections, so that no such
+// connection takes a port between its choice and its use.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
 // freeAddress returns an address whose port is free for TCP and UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", a)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		a := l.Addr().String()
 		l.Close()
 		if u, err := net.ListenPacket("udp", a); err == nil {
 			u.Close()
