--- /dev/null
+++ b/lib/runner/taker.go
@@ -0,0 +1,159 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"radishweir.org/lib/wire"
+)
+
+// failed takes the failure of a look.
+func (h *held) failed(err error) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch why := reason(err); why {
+	case Fenced:
+		h.fenced()
+	case Replaced:
+		h.loseAll()
+		h.restarted(h.upstream.Incarnation)
+	case 0:
+		h.silent(now)
+		// Before the first look the former owner may still hold the runs.
+		if h.open && h.silentTooLong(now) && now.After(h.leased) {
+			h.loseAll()
+		}
+	default:
+		h.refused(why, now)
+	}
+}
+
+// fenced stops the use of an upstream that refused the token until a newer one
+// is there; the caller holds the lock.
+func (h *held) fenced() {
+	if h.refusedToken != h.token {
+		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Int64("token", h.token).Msg("upstream_has_newer_owner")
+	}
+	h.refusedToken = h.token
+	h.open = false
+	go h.runner.Changed(h.upstream.Name)
+}
+
+// loseAll ends every run as lost; the caller holds the lock.
+func (h *held) loseAll() {
+	if len(h.runs) > 0 {
+		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Int("runs", len(h.runs)).Msg("runs_lost")
+	}
+	for k := range h.runs {
+		h.finish(k, wire.RunEnd_lost)
+	}
+}
+
+// restarted forgets what belonged to an earlier incarnation; the caller holds
+// the lock.
+func (h *held) restarted(incarnation int64) {
+	h.upstream.Incarnation = incarnation
+	h.observed, h.clock, h.open = 0, 0, false
+	h.health = newHealth()
+}
+
+// take takes the answer of a look that was sent at the given time.
+func (h *held) take(ctx context.Context, rep Report, sent time.Time) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if rep.Incarnation != 0 && h.upstream.Incarnation != 0 && rep.Incarnation != h.upstream.Incarnation {
+		h.loseAll()
+		h.restarted(rep.Incarnation)
+		return
+	}
+	h.heard(rep.Clock)
+	h.answered()
+	h.unconfirmed = len(rep.Ended) > 0
+	for _, e := range rep.Ended {
+		h.takeEnd(e, now)
+	}
+	h.takeRunning(ctx, rep.Running, sent, now)
+	for k, e := range h.ends {
+		if now.After(e.until) {
+			delete(h.ends, k)
+		}
+	}
+	if !h.open {
+		h.open = true
+		go h.runner.Changed(h.upstream.Name)
+		go h.settle(ctx)
+	}
+}
+
+// takeEnd takes one listed end; the caller holds the lock.
+func (h *held) takeEnd(e Ended, now time.Time) {
+	if e.Number <= h.observed {
+		return
+	}
+	h.observed = e.Number
+	k := key{e.Task, e.Run}
+	r := h.runs[k]
+	if r == nil {
+		h.ends[k] = end{e.Cause, now.Add(endMemory)}
+		return
+	}
+	h.observe(r, e.Cause, now)
+	h.finish(k, e.Cause)
+}
+
+// takeRunning compares the listed runs with the known ones; the caller holds
+// the lock.
+func (h *held) takeRunning(ctx context.Context, list []Running, sent, now time.Time) {
+	listed := make(map[key]Running, len(list))
+	for _, l := range list {
+		k := key{l.Task, l.Run}
+		listed[k] = l
+		if _, over := h.ends[k]; over {
+			continue
+		}
+		if h.runs[k] == nil {
+			h.runs[k] = &run{
+				request: &wire.RunRequest{Upstream: h.upstream.Name, Task: k.task, Run: k.run},
+				phase:   running, since: now, confirmed: now, orphaned: now.Add(orphanGrace),
+			}
+		}
+	}
+	for k, r := range h.runs {
+		l, there := listed[k]
+		switch {
+		case there:
+			h.takeRun(ctx, k, r, l, now)
+		case r.phase == running && r.confirmed.Before(sent):
+			h.finish(k, wire.RunEnd_lost)
+		case r.phase == uncertain && !r.stopping:
+			h.stopLocked(ctx, k, r)
+		case r.phase == uncertain && !r.stopped.IsZero() && r.stopped.Before(sent):
+			// A run that is not there after its stop never starts. Whether it ran
+			// before is known only of runs that this owner ordered.
+			cause := wire.RunEnd_refused
+			if r.request.GetAttach() {
+				cause = wire.RunEnd_lost
+			}
+			h.finish(k, cause)
+		}
+	}
+}
+
+// takeRun takes the progress of a run that is there; the caller holds the lock.
+func (h *held) takeRun(ctx context.Context, k key, r *run, l Running, now time.Time) {
+	if r.phase != running {
+		r.phase, r.confirmed = running, now
+	}
+	abandoned := r.requester == "" && now.After(r.orphaned)
+	if !r.stopping && (abandoned || h.stalled(r, l.Percent, now)) {
+		h.stopLocked(ctx, k, r)
+	}
+}
+
+// stopLocked stops a run; the caller holds the lock.
+func (h *held) stopLocked(ctx context.Context, k key, r *run) {
+	r.stopping = true
+	go h.stop(ctx, h.upstream, k, Order{Task: k.task, Run: k.run, Token: h.token})
+}
