Give each job of a leased test an identifier of its own

The load after the trouble began its identifiers anew, so the 97 calm jobs bore identifiers of jobs refused before; the check right after the trouble (line 348) had passed. Ruled out: a false refusal (the tasks ran under the second submission, which was answered 200; all 97 were). Change: the loads of one test share their count; checks and bounds are as before. Conclusion: the test had sent refused identifiers again.

--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +39,9 @@
 	front   map[string]string
 	ready   map[string]string
 
+	// ids counts the identifiers of submitted jobs.
+	ids atomic.Uint64
+
 	mu     sync.Mutex
 	counts map[int]int
 	jobs   int
@@ -164,7 +168,8 @@
 func (s *system) load(ctx context.Context, gap time.Duration, names ...string) {
 	var wg sync.WaitGroup
 	for i := 0; ctx.Err() == nil; i++ {
-		id := fmt.Sprintf("%016x", i)
+		// Loads of one test share the count: a refused job never comes again.
+		id := fmt.Sprintf("%016x", s.ids.Add(1))
 		wg.Go(func() {
 			status, _ := s.post(names[i%len(names)], "/check/", id, 1+i%4)
 			s.mu.Lock()
