Explain leased jobs from logs; keep claims on upstreams not yet listed

Cause: an operator could not see who owns an upstream or what an entry believes, and had to grep for the cause of a failed job. The first use of the new `leased upstreams` showed a fault: an entry that reads the list of upstreams after a peer has claimed some of them dropped these claims, and the peer says nothing again until something changes there, so the upstreams stayed unused by that entry.

Ruled out: the claims being sent too late (the other entries had them) and the registrations (all three entries had read them).

Change: claims on upstreams that are not listed are kept for 10 s (TestClaimBeforeTheList, failed before). `radishweirctl leased status`, `leased upstreams` and `explain ID` (logs on standard input). Leased entries log to standard output; TestLeasedUnreadOutput leaves it unread.

--- /dev/null
+++ b/lib/coordinator/claims_test.go
@@ -0,0 +1,36 @@
+package coordinator_test
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+// A peer may own an upstream before this entry has read of it in the store; its
+// state does not come again until something changes there.
+func TestClaimBeforeTheList(t *testing.T) {
+	c := &coordinator.Coordinator{Self: "entry-1", Remote: nobody{}, Log: zerolog.Nop()}
+	c.Init(t.Context())
+	c.Up("entry-2", 1)
+	free := packer.Amount{CPU: 16000, Memory: 65536}
+	c.Update("entry-2", true, []*wire.UpstreamState{{Upstream: "u1", Token: 5, Usable: true, Free: runner.MessageOf(free), Slowness: 1}})
+	if views := c.Views(); len(views) != 0 {
+		t.Errorf("an upstream that is not listed is shown: %+v", views)
+	}
+	list := []runner.Upstream{{Name: "u1", Service: "claims", Capacity: free}}
+	c.Upstreams(list)
+	views := c.Views()
+	if len(views) != 1 || views[0].Owner != "entry-2" || !views[0].Usable || views[0].Free != free {
+		t.Errorf("the claim is not known: %+v", views)
+	}
+	c.Upstreams(nil)
+	c.Upstreams(list)
+	if views := c.Views(); len(views) != 1 || views[0].Owner != "entry-2" || !views[0].Usable {
+		t.Errorf("the claim is forgotten with a gap in the list: %+v", views)
+	}
+}
--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -45,6 +45,13 @@
 type Observer interface {
 	// Job tells the outcome of a job and the time until its answer.
 	Job(kind, state, reason string, total time.Duration)
+	// Placed tells that a task was sent to an upstream: one of this entry's own or
+	// not, in its failure domain or not.
+	Placed(own, near bool)
+	// Retry tells that a task must run again, and how its run ended.
+	Retry(cause string)
+	// LeftOut tells that the line about a job was not written.
+	LeftOut(state string)
 }
 
 // Coordinator holds the open jobs of one entry. Exported fields are set before
@@ -65,6 +72,7 @@
 	wake     chan struct{}
 	ctx      context.Context
 	refusals zerolog.Logger
+	leftOut  leftOut
 
 	mu       sync.Mutex
 	jobs     map[string]*job
@@ -92,7 +100,8 @@
 // Init prepares the coordinator; it is called once before any other method.
 func (c *Coordinator) Init(ctx context.Context) {
 	c.ctx = ctx
-	c.refusals = c.Log.Sample(&zerolog.BurstSampler{Burst: refusalsPerSecond, Period: time.Second})
+	c.leftOut.observer = c.Observer
+	c.refusals = c.Log.Sample(&zerolog.BurstSampler{Burst: refusalsPerSecond, Period: time.Second, NextSampler: &c.leftOut})
 	c.wake = make(chan struct{}, 1)
 	c.jobs, c.sites = make(map[string]*job), make(map[string]*site)
 	c.past = make(map[string]past)
@@ -101,11 +110,15 @@
 
 // Run places waiting tasks until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	t := time.NewTimer(0)
+	t, second := time.NewTimer(0), time.NewTicker(time.Second)
 	defer t.Stop()
+	defer second.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-second.C:
+			c.reportLeftOut()
+			continue
 		case <-c.wake:
 		case <-t.C:
 		}
@@ -135,7 +148,7 @@
 		}
 		j = newJob(in, past.run)
 		if !c.possible(j) {
-			c.mu.Unlock()
+			defer c.mu.Unlock()
 			return c.refuse(j, "no upstream is large enough")
 		}
 		c.jobs[j.ID] = j
@@ -212,7 +225,7 @@
 	return out
 }
 
-// observe counts and logs an answer.
+// observe counts and logs an answer; the caller holds the lock.
 func (c *Coordinator) observe(j *job, a Answer) {
 	now := time.Now()
 	if c.Observer != nil {
@@ -227,16 +240,19 @@
 		// Refusals come in floods; the counters hold them all.
 		log = &c.refusals
 	}
-	log.Info().Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
+	line := log.Info()
+	if !line.Enabled() {
+		return
+	}
+	usable, peers := c.reach(j.Service)
+	line.Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
 		Int64("after_ms", now.Sub(j.Arrived).Milliseconds()).Int64("late_ms", late.Milliseconds()).
 		Int("tasks", j.Tasks).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.begun).
-		Strs("missed_at", j.missed()).Int("waiting", len(c.waiting)).Msg("job_ended")
+		Strs("missed_at", j.missed()).Int("waiting", len(c.waiting)).
+		Int("upstreams_usable", usable).Int("peers_up", peers).Msg("job_ended")
 }
 
-// refusalsPerSecond bounds the lines about refused jobs.
-const refusalsPerSecond = 20
-
-// refuse answers a job of which nothing was started.
+// refuse answers a job of which nothing was started; the caller holds the lock.
 func (c *Coordinator) refuse(j *job, reason string) Answer {
 	a := Answer{State: Refused, Reason: reason, RetryAfter: longestRetry}
 	c.observe(j, a)
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -15,9 +15,15 @@
 // peer notices the silence and stops the runs, or their leases run out.
 func (c *Coordinator) lostAfter() time.Duration { return c.PeerSilence + runner.LeaseTime + peerStop }
 
+// unlistedMemory is how long claims on upstreams that are not listed are kept;
+// several times what entries differ by in reading the list.
+const unlistedMemory = 10 * time.Second
+
 // site is an upstream as this entry sees it.
 type site struct {
 	runner.Upstream
+	// unlisted is the time since which the list lacks it; zero while it is there.
+	unlisted time.Time
 	// owner is the entry that claimed the upstream with the highest token.
 	owner string
 	token int64
@@ -26,6 +32,8 @@
 	free     packer.Amount
 	slowness float64
 	usable   bool
+	// heard is the time of the owner's last news.
+	heard time.Time
 	// sent is the sum of the requests that the owner has not taken yet.
 	sent packer.Amount
 }
@@ -88,12 +96,28 @@
 
 // usable reports whether new runs may be sent to a site.
 func (c *Coordinator) usable(s *site) bool {
-	if !s.known || !s.usable || s.Leaving {
+	if !s.known || !s.usable || s.Leaving || !s.unlisted.IsZero() {
 		return false
 	}
 	return s.owner == c.Self || (c.links[s.owner] != nil && c.links[s.owner].up)
 }
 
+// reach counts the upstreams of a service that may get new runs, and the peers
+// that can be reached.
+func (c *Coordinator) reach(service string) (upstreams, peers int) {
+	for _, s := range c.services[service] {
+		if c.usable(s) {
+			upstreams++
+		}
+	}
+	for _, l := range c.links {
+		if l.up {
+			peers++
+		}
+	}
+	return upstreams, peers
+}
+
 // possible reports whether any upstream could ever hold a task of the job.
 func (c *Coordinator) possible(j *job) bool {
 	for _, s := range c.services[j.Service] {
@@ -115,10 +139,22 @@
 		if s == nil {
 			s = &site{slowness: 1}
 		}
-		s.Upstream = u
+		s.Upstream, s.unlisted = u, time.Time{}
 		sites[u.Name] = s
 		services[u.Service] = append(services[u.Service], s)
 	}
+	now := time.Now()
+	for name, s := range c.sites {
+		if sites[name] != nil {
+			continue
+		}
+		if s.unlisted.IsZero() {
+			s.unlisted = now
+		}
+		if now.Sub(s.unlisted) < unlistedMemory {
+			sites[name] = s
+		}
+	}
 	c.sites, c.services = sites, services
 	c.mu.Unlock()
 	c.Wake()
@@ -141,7 +177,9 @@
 	for _, u := range list {
 		s := c.sites[u.GetUpstream()]
 		if s == nil {
-			continue
+			// The owner may have read of it in the store before this entry.
+			s = &site{Upstream: runner.Upstream{Name: u.GetUpstream()}, unlisted: time.Now()}
+			c.sites[s.Name] = s
 		}
 		if s.owner != owner {
 			if u.GetToken() <= s.token {
@@ -153,7 +191,7 @@
 		s.known, s.usable = u.GetToken() != 0, u.GetUsable()
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountOf(u.GetFree())
-		s.slowness = u.GetSlowness()
+		s.slowness, s.heard = u.GetSlowness(), time.Now()
 	}
 	var out []message
 	if len(moved) > 0 {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -214,6 +214,9 @@
 		j.placed++
 		c.started.add(now, size(&j.Job)/float64(j.Tasks))
 		c.rooms.add(now, float64(j.Need.CPU)/1000)
+		if c.Observer != nil {
+			c.Observer.Placed(s.owner == c.Self, s.Domain == c.Domain)
+		}
 		if m, ok := c.message(t, false); ok {
 			out = append(out, m)
 		}
@@ -295,6 +298,9 @@
 	case wire.RunEnd_refused:
 		t.miss(e.GetUpstream())
 	}
+	if c.Observer != nil && e.GetCause() != wire.RunEnd_done {
+		c.Observer.Retry(e.GetCause().String())
+	}
 	c.reconsider(j)
 	return nil
 }
--- /dev/null
+++ b/lib/coordinator/view.go
@@ -0,0 +1,50 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+)
+
+// View is what this entry believes of one upstream.
+type View struct {
+	runner.Upstream
+	// Owner is the entry that claimed it with the highest token, Token that token.
+	Owner string
+	Token int64
+	// Usable is true while new runs may be sent there.
+	Usable bool
+	// Free is what new runs may take.
+	Free     packer.Amount
+	Slowness float64
+	// Heard is the time of the owner's last news.
+	Heard time.Time
+}
+
+// Views describes all upstreams, by name.
+func (c *Coordinator) Views() []View {
+	c.mu.Lock()
+	out := make([]View, 0, len(c.sites))
+	for _, s := range c.sites {
+		if !s.unlisted.IsZero() {
+			continue
+		}
+		out = append(out, View{
+			Upstream: s.Upstream, Owner: s.owner, Token: s.token, Usable: c.usable(s), Free: s.room(), Slowness: s.slowness, Heard: s.heard,
+		})
+	}
+	c.mu.Unlock()
+	slices.SortFunc(out, func(a, b View) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Reachable reports whether a peer is up.
+func (c *Coordinator) Reachable(peer string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[peer]
+	return l != nil && l.up
+}
--- a/lib/dispatcher/decision.go
+++ b/lib/dispatcher/decision.go
@@ -144,7 +144,7 @@
 			p.retries.earn()
 			p.hedges.earn()
 		}
-		p.Recorder.Run(p.name, a.task.Tenant, d)
+		p.Recorder.Took(p.name, a.task.Tenant, d)
 	case errors.Is(err, context.Canceled) && !a.silent.Load():
 		// The attempt was stopped from here.
 	case classifier.Of(err) == classifier.NotRun:
--- a/lib/dispatcher/dispatcher.go
+++ b/lib/dispatcher/dispatcher.go
@@ -76,7 +76,7 @@
 	// Wait observes the time that a task waited for a slot.
 	Wait(service, tenant string, d time.Duration)
 	// Run observes the time that an upstream took for a task.
-	Run(service, tenant string, d time.Duration)
+	Took(service, tenant string, d time.Duration)
 }
 
 // Kinds of message to an upstream.
--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -88,7 +88,7 @@
 	r.kinds[kind]++
 }
 func (*fakeRecorder) Wait(string, string, time.Duration) {}
-func (*fakeRecorder) Run(string, string, time.Duration)  {}
+func (*fakeRecorder) Took(string, string, time.Duration) {}
 
 // setting is a dispatcher with a service and upstreams named by letters.
 type setting struct {
--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -60,6 +60,8 @@
 	missing  bool
 	wake     chan struct{}
 	stopped  atomic.Bool
+	// failing is the time of the first of the renewals that failed in a row.
+	failing time.Time
 }
 
 // Run keeps this entry registered until ctx ends.
@@ -87,6 +89,7 @@
 	e.mu.Unlock()
 	if lease != 0 && !missing {
 		alive, err := e.Store.KeepAlive(ctx, lease)
+		e.noteRenewal(err)
 		if err != nil || alive {
 			return
 		}
@@ -96,6 +99,19 @@
 	}
 }
 
+// noteRenewal logs when the store stops and begins again to answer renewals.
+func (e *Enroller) noteRenewal(err error) {
+	now := time.Now()
+	switch {
+	case err == nil && !e.failing.IsZero():
+		e.Log.Info().Int64("after_ms", now.Sub(e.failing).Milliseconds()).Msg("renewals_answered")
+		e.failing = time.Time{}
+	case err != nil && e.failing.IsZero():
+		e.Log.Warn().Err(err).Msg("renewals_failing")
+		e.failing = now
+	}
+}
+
 // register writes the registration under a fresh lease.
 func (e *Enroller) register(ctx context.Context) error {
 	lease, err := e.Store.Grant(ctx, leaseSeconds)
--- a/lib/operator/operator.go
+++ b/lib/operator/operator.go
@@ -60,6 +60,8 @@
 	Services      []Service `json:"services"`
 	Members       []Member  `json:"members"`
 	Shards        []Shards  `json:"shards"`
+	// Leased is what an entry on leased upstreams believes; nil on others.
+	Leased *Leased `json:"leased,omitempty"`
 }
 
 // Service is one service on the status page.
@@ -107,6 +109,39 @@
 	Shards int    `json:"shards"`
 }
 
+// Leased is what an entry on leased upstreams believes, and how old that is.
+type Leased struct {
+	ConfigurationVersion int64 `json:"configuration_version"`
+	// ConfigurationTakenAt is when that version came into force here.
+	ConfigurationTakenAt time.Time `json:"configuration_taken_at"`
+	// UpstreamsReadAt is the time of the last news of the list of upstreams.
+	UpstreamsReadAt time.Time `json:"upstreams_read_at"`
+	// Revision is that of the registrations from which ownership follows.
+	Revision    int64            `json:"revision"`
+	WaitingJobs int              `json:"waiting_jobs"`
+	Upstreams   []LeasedUpstream `json:"upstreams"`
+}
+
+// LeasedUpstream is one leased upstream as one entry sees it.
+type LeasedUpstream struct {
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	// Owner is the entry that may start runs there, empty if unknown.
+	Owner string `json:"owner"`
+	// Token is the fencing token under which the owner claims it.
+	Token int64 `json:"token"`
+	// Usable is true while new runs may be sent there.
+	Usable  bool `json:"usable"`
+	Leaving bool `json:"leaving"`
+	// FreeCores is what new runs may take.
+	FreeCores float64 `json:"free_cores"`
+	// Slowness is its run time over the expected one.
+	Slowness float64 `json:"slowness"`
+	// HeardAt is the time of the owner's last news of it.
+	HeardAt time.Time `json:"heard_at"`
+}
+
 // Listen binds the address.
 func (s *Server) Listen() error {
 	l, err := net.Listen("tcp", s.Address)
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -37,6 +37,13 @@
 	jobs              *prometheus.CounterVec
 	orders            *prometheus.CounterVec
 	answer            *prometheus.HistogramVec
+	placements        *prometheus.CounterVec
+	retries           *prometheus.CounterVec
+	runs              *prometheus.CounterVec
+	waste             *prometheus.CounterVec
+	takeovers         prometheus.Counter
+	linesLeftOut      *prometheus.CounterVec
+	kinds             labels
 }
 
 // New registers the metrics.
@@ -64,6 +71,14 @@
 		answer: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "answer_seconds", Help: "Time from a submission to its answer.", Buckets: runBuckets,
 		}, []string{"kind"}),
+		placements: counter("placements_total", "Tasks sent to upstreams, by whose and where these are.", "owner", "failure_domain"),
+		retries:    counter("task_retries_total", "Tasks that must run again, by how their run ended.", "cause"),
+		runs:       counter("runs_total", "Runs on owned upstreams by how they ended.", "cause"),
+		waste:      counter("wasted_core_seconds_total", "Reserved core-seconds of runs that brought no result.", "cause"),
+		takeovers: f.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "upstream_takeovers_total", Help: "Upstreams that this entry became the owner of.",
+		}),
+		linesLeftOut: counter("log_lines_left_out_total", "Lines about jobs left out to bound the volume of logs.", "state"),
 		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
 		}),
@@ -72,10 +87,41 @@
 
 // Job counts one job by its outcome and observes the time to its answer.
 func (r *Recorder) Job(kind, state, reason string, total time.Duration) {
+	kind = r.kinds.bound(kind)
 	r.jobs.WithLabelValues(kind, state, reason).Inc()
 	r.answer.WithLabelValues(kind).Observe(total.Seconds())
 }
 
+// Placed counts one task that was sent to an upstream.
+func (r *Recorder) Placed(own, near bool) {
+	r.placements.WithLabelValues(pick(own, "self", "peer"), pick(near, "same", "other")).Inc()
+}
+
+// pick returns yes or no as the condition is true or false.
+func pick(condition bool, yes, no string) string {
+	if condition {
+		return yes
+	}
+	return no
+}
+
+// Retry counts one task that must run again.
+func (r *Recorder) Retry(cause string) { r.retries.WithLabelValues(cause).Inc() }
+
+// Run counts one run on an owned upstream, and what it took for nothing.
+func (r *Recorder) Run(cause string, wasted float64) {
+	r.runs.WithLabelValues(cause).Inc()
+	if wasted > 0 {
+		r.waste.WithLabelValues(cause).Add(wasted)
+	}
+}
+
+// Takeover counts one upstream that this entry became the owner of.
+func (r *Recorder) Takeover() { r.takeovers.Inc() }
+
+// LeftOut counts one line about a job that was not written.
+func (r *Recorder) LeftOut(state string) { r.linesLeftOut.WithLabelValues(state).Inc() }
+
 // Order counts one order to a leased upstream.
 func (r *Recorder) Order(kind, result string) {
 	r.orders.WithLabelValues(kind, result).Inc()
@@ -101,8 +147,8 @@
 	r.wait.WithLabelValues(service, tenant).Observe(d.Seconds())
 }
 
-// Run observes the time that an upstream took for a task.
-func (r *Recorder) Run(service, tenant string, d time.Duration) {
+// Took observes the time that an upstream took for a task.
+func (r *Recorder) Took(service, tenant string, d time.Duration) {
 	r.run.WithLabelValues(service, tenant).Observe(d.Seconds())
 }
 
--- a/lib/router/router.go
+++ b/lib/router/router.go
@@ -99,6 +99,14 @@
 	return t.Table, true
 }
 
+// TakenAt returns the time at which the table in force was taken.
+func (r *Router) TakenAt() time.Time {
+	if t := r.table.Load(); t != nil {
+		return t.taken
+	}
+	return time.Time{}
+}
+
 // Find returns the queue of a request and the rest of the path after the
 // queue's prefix.
 func (r *Router) Find(host, path string) (q Queue, rest string, ok bool) {
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"radishweir.org/lib/wire"
 )
 
@@ -48,9 +50,13 @@
 	ejection time.Duration
 	// probing is true until a run succeeds after an ejection.
 	probing bool
+	// log names the upstream.
+	log zerolog.Logger
 }
 
-func newHealth() health { return health{slowness: 1, ejection: firstEjection} }
+func newHealth(log zerolog.Logger) health {
+	return health{slowness: 1, ejection: firstEjection, log: log}
+}
 
 // admits reports whether new runs may be sent beside n others. After an
 // ejection a single run probes the upstream.
@@ -71,37 +77,50 @@
 		return
 	}
 	if h.silentTooLong(now) {
-		h.eject(now)
+		h.eject(now, "silent")
 	}
 }
 
 // silentTooLong reports whether orders have long been without any answer.
 func (h *health) silentTooLong(now time.Time) bool {
-	return h.askedAt.After(h.heardAt) && now.Sub(h.askedAt) >= silenceLimit
+	return h.silence(now) >= silenceLimit
 }
 
 // refused takes a refusal.
 func (h *health) refused(why Reason, now time.Time) {
 	h.heardAt = now
 	if why == Unhealthy {
-		h.eject(now)
+		h.eject(now, "refuses orders")
 	}
 }
 
 // eject keeps new runs away for a time that doubles until a run succeeds.
-func (h *health) eject(now time.Time) {
+func (h *health) eject(now time.Time, why string) {
 	if now.Before(h.ejected) {
 		return
 	}
+	h.log.Info().Str("reason", why).Int("failures", h.failures).Int64("silent_ms", h.silence(now).Milliseconds()).
+		Float64("slowness", h.slowness).Int64("for_ms", h.ejection.Milliseconds()).Msg("upstream_ejected")
 	h.ejected = now.Add(h.ejection)
 	h.ejection = min(2*h.ejection, lastEjection)
 	h.probing = true
 }
 
+// silence is the time since the first order without any answer.
+func (h *health) silence(now time.Time) time.Duration {
+	if !h.askedAt.After(h.heardAt) {
+		return 0
+	}
+	return now.Sub(h.askedAt)
+}
+
 // observe learns from the end of a run.
 func (h *health) observe(r *run, cause wire.RunEnd_Cause, now time.Time) {
 	switch cause {
 	case wire.RunEnd_done:
+		if h.probing {
+			h.log.Info().Msg("upstream_admitted")
+		}
 		h.failures, h.several, h.probing, h.ejection = 0, false, false, firstEjection
 		if ms := r.request.GetExpectedMs(); ms > 0 {
 			ratio := float64(now.Sub(r.since).Microseconds()) / 1000 / ms
@@ -114,7 +133,7 @@
 		h.failing = job
 		h.failures++
 		if (h.failures >= failuresToEject && h.several) || h.probing {
-			h.eject(now)
+			h.eject(now, "runs fail")
 		}
 	}
 }
@@ -156,6 +175,6 @@
 	if percent >= stalledPercent {
 		return false
 	}
-	h.eject(now)
+	h.eject(now, "a run stands still")
 	return true
 }
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -83,7 +83,7 @@
 func newHeld(r *Runner, u Upstream, token int64) *held {
 	return &held{
 		runner: r, wake: make(chan struct{}, 1), upstream: u, token: token, free: u.Capacity,
-		runs: make(map[key]*run), ends: make(map[key]end), health: newHealth(),
+		runs: make(map[key]*run), ends: make(map[key]end), health: newHealth(r.Log.With().Str("upstream", u.Name).Logger()),
 	}
 }
 
@@ -262,6 +262,13 @@
 	delete(h.runs, k)
 	h.free = h.free.Plus(r.amount)
 	h.ends[k] = end{cause, time.Now().Add(endMemory)}
+	if h.runner.Observer != nil {
+		wasted := 0.0
+		if cause != wire.RunEnd_done && r.phase == running {
+			wasted = time.Since(r.since).Seconds() * float64(r.amount.CPU) / 1000
+		}
+		h.runner.Observer.Run(cause.String(), wasted)
+	}
 	if r.requester != "" {
 		// The requester may call back into this upstream.
 		go h.runner.end(r.requester, r.request, cause)
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -60,6 +60,14 @@
 	endMemory = 2 * time.Second
 )
 
+// Observer counts what becomes of runs and upstreams.
+type Observer interface {
+	// Run tells how a run ended, and the core-seconds that it held without result.
+	Run(cause string, wasted float64)
+	// Takeover tells that this entry became the owner of an upstream.
+	Takeover()
+}
+
 // Runner owns upstreams. Exported fields are set before the first call.
 type Runner struct {
 	// Client sends orders.
@@ -68,6 +76,8 @@
 	Ended func(requester string, e *wire.RunEnd)
 	// Changed is called after the state of an upstream changed.
 	Changed func(upstream string)
+	// Observer may be nil.
+	Observer Observer
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -95,6 +105,7 @@
 	}
 	r.token = max(r.token, token)
 	keep := make(map[string]bool, len(list))
+	gained, lost := 0, 0
 	for _, u := range list {
 		keep[u.Name] = true
 		if h := r.held[u.Name]; h != nil {
@@ -103,6 +114,10 @@
 		}
 		h := newHeld(r, u, r.token)
 		r.held[u.Name] = h
+		gained++
+		if r.Observer != nil {
+			r.Observer.Takeover()
+		}
 		go h.loop(ctx)
 	}
 	r.attachEarly(ctx)
@@ -110,9 +125,13 @@
 		if !keep[name] {
 			h.release()
 			delete(r.held, name)
+			lost++
 			go r.Changed(name)
 		}
 	}
+	if gained+lost > 0 {
+		r.Log.Info().Int64("token", r.token).Int("gained", gained).Int("lost", lost).Int("owned", len(r.held)).Msg("ownership_changed")
+	}
 }
 
 // Request starts a run for a requester, or attaches the requester to a run
--- a/lib/runner/taker.go
+++ b/lib/runner/taker.go
@@ -55,7 +55,7 @@
 func (h *held) restarted(incarnation int64) {
 	h.upstream.Incarnation = incarnation
 	h.observed, h.clock, h.open = 0, 0, false
-	h.health = newHealth()
+	h.health = newHealth(h.log)
 }
 
 // take takes the answer of a look that was sent at the given time.
--- /dev/null
+++ b/proof/leased_operators_test.go
@@ -0,0 +1,135 @@
+package proof
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// metric returns the value of a metric without labels, as text.
+func (s *system) metric(entry, name string) string {
+	s.t.Helper()
+	resp, err := http.Get("http://" + s.operators[entry] + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
+// control runs radishweirctl and returns what it printed.
+func control(t *testing.T, in string, args ...string) string {
+	t.Helper()
+	c := exec.Command(filepath.Join(programs, "radishweirctl"), args...)
+	c.Stdin = strings.NewReader(in)
+	out, err := c.CombinedOutput()
+	if err != nil {
+		t.Errorf("radishweirctl %v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+// An entry whose output nobody reads serves on, and says afterwards that events
+// were left out.
+func TestLeasedUnreadOutput(t *testing.T) {
+	s := newSystem(t, 1, 8)
+	first := s.entries["entry-1"]
+	_ = first.Process.Kill()
+	<-first.done
+	path := filepath.Join(s.dir, "entry-1.toml")
+	settings, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append(settings, "log_level = \"debug\"\n"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	c := exec.Command(filepath.Join(programs, "radishweir"), "leased", "--settings", path)
+	c.Stdout = w
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = w.Close()
+	defer func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	}()
+	s.waitReady("entry-1")
+	time.Sleep(time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancel()
+	s.load(ctx, 10*time.Millisecond, "entry-1")
+	s.judge()
+	if s.share() < 0.99 {
+		t.Errorf("%.3f were served, want 0.99", s.share())
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if n := s.metric("entry-1", "radishweir_log_events_missed"); n != "0" && n != "" {
+			return
+		}
+	}
+	t.Error("no event was counted as left out")
+}
+
+// Operators see who owns what, and follow a job from its identifier to the
+// cause, also when an entry has died.
+func TestLeasedOperators(t *testing.T) {
+	s := newSystem(t, 3, 6)
+	status := control(t, "", "--platform", s.host.Address(), "leased", "status")
+	for _, name := range s.names {
+		if !strings.Contains(status, name) || strings.Contains(status, "unreachable") {
+			t.Errorf("%s is not shown as reachable:\n%s", name, status)
+		}
+	}
+	upstreams := control(t, "", "--platform", s.host.Address(), "leased", "upstreams")
+	if n := strings.Count(upstreams, "usable"); n != 6 || strings.Contains(upstreams, "nobody") || strings.Contains(upstreams, "says") {
+		t.Errorf("six upstreams with one owner each are expected:\n%s", upstreams)
+	}
+
+	_ = s.entries["entry-2"].Process.Kill()
+	<-s.entries["entry-2"].done
+	// Far more tasks than fit: the job is refused for want of room.
+	statusCode, _ := s.post("entry-1", "/check/", "00000000000000aa", 4000)
+	if statusCode != http.StatusServiceUnavailable {
+		t.Errorf("a job without room was answered %d", statusCode)
+	}
+	// Lines are written a little after their event.
+	logs := ""
+	s.await("the line about the job", func() bool {
+		logs = ""
+		for _, name := range s.names {
+			logs += s.entries[name].log.String()
+		}
+		return strings.Contains(logs, "job=00000000000000aa")
+	})
+	e := control(t, logs, "explain", "00000000000000aa")
+	for _, want := range []string{"cause: overload", "peer_down", "entry-2", "state=refused"} {
+		if !strings.Contains(e, want) {
+			t.Errorf("the explanation lacks %q:\n%s", want, e)
+		}
+	}
+	if e := control(t, logs, "explain", "ffffffffffffffff"); !strings.Contains(e, "cause: no line") {
+		t.Errorf("an unknown job:\n%s", e)
+	}
+}
--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -65,7 +65,7 @@
 func newSystem(t *testing.T, entries, workers int) *system {
 	t.Helper()
 	s := &system{
-		fleet: &fleet{t: t, dir: t.TempDir()}, host: hoster.New(), entries: make(map[string]*process),
+		fleet: &fleet{t: t, dir: t.TempDir(), operators: make(map[string]string)}, host: hoster.New(), entries: make(map[string]*process),
 		front: make(map[string]string), ready: make(map[string]string), counts: make(map[int]int),
 	}
 	s.host.Fleet.Amount = packer.Amount{CPU: 6800, Memory: 64}
@@ -97,7 +97,7 @@
 func (s *system) addEntry(name, domain string) {
 	s.t.Helper()
 	s.names = append(s.names, name)
-	s.front[name], s.ready[name] = freeAddress(s.t), freeAddress(s.t)
+	s.front[name], s.ready[name], s.operators[name] = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	settings := fmt.Sprintf(`name = %q
 failure_domain = %q
 caller_address = %q
@@ -107,7 +107,7 @@
 platform_address = %q
 balancer_wait = "300ms"
 drain_limit = "5s"
-`, name, domain, s.front[name], s.ready[name], freeAddress(s.t), freeAddress(s.t), s.host.Address())
+`, name, domain, s.front[name], s.ready[name], freeAddress(s.t), s.operators[name], s.host.Address())
 	if err := os.WriteFile(filepath.Join(s.dir, name+".toml"), []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -117,7 +117,7 @@
 
 // buildWork builds the parts that run jobs.
 func (e *Entry) buildWork(rec *recorder.Recorder) {
-	e.runner = &runner.Runner{Client: &adapter.Upstreams{Counter: rec}, Ended: e.ended, Changed: e.changed, Log: e.Log}
+	e.runner = &runner.Runner{Client: &adapter.Upstreams{Counter: rec}, Ended: e.ended, Changed: e.changed, Observer: rec, Log: e.Log}
 	e.messenger = &messenger.Messenger{
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
 	}
@@ -180,16 +180,6 @@
 	}
 }
 
-// status describes the entry to operators.
-func (e *Entry) status() operator.Status {
-	open, _ := e.coordinator.Counts()
-	return operator.Status{
-		Name: e.Name, Incarnation: e.self.GetIncarnation(), FailureDomain: e.FailureDomain, Ready: e.ready(),
-		Draining: e.draining.Load(), StartedAt: e.self.GetStartedAt().AsTime(),
-		PlatformConnected: e.watchers[0].Connected(), PlatformHeardAt: e.watchers[0].Heard(), OpenJobs: open,
-	}
-}
-
 // Run serves until the first signal, drains, and returns nil.
 func (e *Entry) Run(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/radishweir/main.go
+++ b/radishweir/main.go
@@ -110,7 +110,7 @@
 	}
 	// The level is set by the settings, which may change while it runs.
 	missed := &atomic.Int64{}
-	log, err := logger.NewAsync(os.Stderr, zerolog.LevelDebugValue, func(n int) { missed.Add(int64(n)) })
+	log, err := logger.NewAsync(os.Stdout, zerolog.LevelDebugValue, func(n int) { missed.Add(int64(n)) })
 	if err != nil {
 		return nil, err
 	}
--- a/radishweirctl/internal/commander/commander.go
+++ b/radishweirctl/internal/commander/commander.go
@@ -57,6 +57,7 @@
 // Commander holds the options and the outputs of one run.
 type Commander struct {
 	Settings
+	In       io.Reader
 	Out, Err io.Writer
 
 	settingsFile string
@@ -91,6 +92,9 @@
 	{"questionnaire history", "list the revisions of a service", serviceArgument, (*Commander).questionnaireHistory, false},
 	{"status", "show the entries", nil, (*Commander).status, false},
 	{"vms", "show the platform's VM list", nil, (*Commander).vms, false},
+	{"leased status", "show the entries on leased upstreams and the age of what they know", nil, (*Commander).leasedStatus, true},
+	{"leased upstreams", "show who owns which leased upstream", nil, (*Commander).leasedUpstreams, true},
+	{"explain", "explain a job of leased entries from their logs on standard input", explainOptions, (*Commander).explainJob, true},
 	{"job show", "show a job", jobOptions, (*Commander).jobShow, true},
 	{"job cancel", "cancel a job", jobOptions, (*Commander).jobCancel, true},
 	{"keys issue", "create an authority and a certificate for each entry", keysOptions, (*Commander).keysIssue, true},
@@ -117,6 +121,10 @@
 	s.String(&c.token, "t", "token", "bearer token of the tenant")
 }
 
+func explainOptions(c *Commander, s *flaggy.Subcommand) {
+	s.AddPositionalValue(&c.job, "id", 1, true, "identifier of the job, the last part of the request's path")
+}
+
 func keysOptions(c *Commander, s *flaggy.Subcommand) {
 	s.AddPositionalValue(&c.directory, "directory", 1, true, "folder to fill")
 	s.StringSlice(&c.names, "n", "names", "names of the entries")
@@ -124,7 +132,7 @@
 
 // Main parses the command line, runs the command and returns the exit code.
 func Main(version string, out, errOut io.Writer) int {
-	c := &Commander{Out: out, Err: errOut}
+	c := &Commander{In: os.Stdin, Out: out, Err: errOut}
 	leaves := c.parse(version)
 	for _, cmd := range commands {
 		if !leaves[cmd.path].Used {
--- /dev/null
+++ b/radishweirctl/internal/commander/leased.go
@@ -0,0 +1,161 @@
+package commander
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"radishweir.org/lib/loader"
+	"radishweir.org/lib/operator"
+	adapter "radishweir.org/platform"
+	"radishweir.org/radishweirctl/internal/explainer"
+)
+
+// fetchLeased reads the status pages of the entries on leased upstreams.
+func (c *Commander) fetchLeased(ctx context.Context) ([]fetched, error) {
+	if err := loader.Addresses(c.PlatformAddresses); err != nil {
+		return nil, &usageError{errors.Errorf("--platform: %v", err)}
+	}
+	return fetchEntries(ctx, adapter.NewClient(c.PlatformAddresses[0], nil))
+}
+
+// leasedStatus shows each entry and how old what it knows is.
+func (c *Commander) leasedStatus(ctx context.Context) error {
+	all, err := c.fetchLeased(ctx)
+	if err != nil {
+		return err
+	}
+	var list []operator.Status
+	rows := [][]string{{"ENTRY", "DOMAIN", "STATE", "PLATFORM", "HEARD", "CONFIGURATION", "LIST READ", "PEERS", "OWNS", "JOBS", "WAITING"}}
+	for _, f := range all {
+		if f.err != nil || f.status.Leased == nil {
+			rows = append(rows, append([]string{f.name, "?", "unreachable"}, slices.Repeat([]string{"?"}, len(rows[0])-3)...))
+			continue
+		}
+		list = append(list, f.status)
+		rows = append(rows, leasedRow(f.status))
+	}
+	return c.print(list, rows)
+}
+
+// leasedRow is one line of the table of entries.
+func leasedRow(st operator.Status) []string {
+	l, up, owned := st.Leased, 0, 0
+	for _, m := range st.Members {
+		if m.Reachable {
+			up++
+		}
+	}
+	for _, u := range l.Upstreams {
+		if u.Owner == st.Name {
+			owned++
+		}
+	}
+	return []string{
+		st.Name, st.FailureDomain, stateOf(st), connectionOf(st), age(st.PlatformHeardAt), strconv.FormatInt(l.ConfigurationVersion, 10),
+		age(l.UpstreamsReadAt), fmt.Sprintf("%d of %d", up, len(st.Members)), strconv.Itoa(owned), strconv.Itoa(st.OpenJobs),
+		strconv.Itoa(l.WaitingJobs),
+	}
+}
+
+// age is the time since t for a person.
+func age(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return time.Since(t).Round(10 * time.Millisecond).String()
+}
+
+// claim is an upstream with the entry that says so.
+type claim struct {
+	operator.LeasedUpstream
+	// OtherOwners holds entries that name another owner.
+	OtherOwners map[string]string `json:"other_owners,omitempty"`
+}
+
+// leasedUpstreams shows the owner of each upstream, as the highest token claims
+// it, and the entries that believe something else.
+func (c *Commander) leasedUpstreams(ctx context.Context) error {
+	all, err := c.fetchLeased(ctx)
+	if err != nil {
+		return err
+	}
+	list := claims(all)
+	rows := [][]string{{"UPSTREAM", "DOMAIN", "OWNER", "TOKEN", "STATE", "FREE CORES", "SLOWNESS", "HEARD", "ENTRIES THAT DIFFER"}}
+	for _, u := range list {
+		var differ []string
+		for _, name := range slices.Sorted(maps.Keys(u.OtherOwners)) {
+			differ = append(differ, name+" says "+cmp.Or(u.OtherOwners[name], "nobody"))
+		}
+		rows = append(rows, []string{
+			u.Name, u.FailureDomain, cmp.Or(u.Owner, "nobody"), strconv.FormatInt(u.Token, 10), upstreamState(u.LeasedUpstream),
+			strconv.FormatFloat(u.FreeCores, 'f', 1, 64), strconv.FormatFloat(u.Slowness, 'f', 2, 64), age(u.HeardAt), strings.Join(differ, ", "),
+		})
+	}
+	return c.print(list, rows)
+}
+
+// claims merges what the entries say of each upstream.
+func claims(all []fetched) []claim {
+	best := make(map[string]*claim)
+	for _, f := range all {
+		if f.status.Leased == nil {
+			continue
+		}
+		for _, u := range f.status.Leased.Upstreams {
+			b := best[u.Name]
+			// The owner itself knows best.
+			if b == nil || u.Token > b.Token || (u.Token == b.Token && u.Owner == f.name) {
+				best[u.Name] = &claim{LeasedUpstream: u, OtherOwners: make(map[string]string)}
+			}
+		}
+	}
+	for _, f := range all {
+		if f.status.Leased == nil {
+			continue
+		}
+		for _, u := range f.status.Leased.Upstreams {
+			if b := best[u.Name]; b.Owner != u.Owner {
+				b.OtherOwners[f.name] = u.Owner
+			}
+		}
+	}
+	out := make([]claim, 0, len(best))
+	for _, name := range slices.Sorted(maps.Keys(best)) {
+		out = append(out, *best[name])
+	}
+	return out
+}
+
+// upstreamState is an upstream's state for a person.
+func upstreamState(u operator.LeasedUpstream) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case !u.Usable:
+		return "no new runs"
+	}
+	return "usable"
+}
+
+// explainJob follows a job through logs.
+func (c *Commander) explainJob(context.Context) error {
+	lines, err := explainer.Read(c.In)
+	if err != nil {
+		return err
+	}
+	e := explainer.Explain(lines, c.job)
+	if c.asJSON {
+		return c.print(e, nil)
+	}
+	_, err = io.WriteString(c.Out, e.String())
+	return err
+}
--- a/radishweirctl/internal/commander/status.go
+++ b/radishweirctl/internal/commander/status.go
@@ -39,9 +39,19 @@
 	return 0
 }
 
+// lister lists the keys of a platform's store.
+type lister interface {
+	List(ctx context.Context, prefix string) (platform.Snapshot, error)
+}
+
 // fetchAll reads the status pages of all registered entries.
 func (c *Commander) fetchAll(ctx context.Context) ([]fetched, error) {
-	snap, err := c.store.List(ctx, platform.EntryPrefix)
+	return fetchEntries(ctx, c.store)
+}
+
+// fetchEntries reads the status pages of the entries registered in a store.
+func fetchEntries(ctx context.Context, store lister) ([]fetched, error) {
+	snap, err := store.List(ctx, platform.EntryPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -82,18 +92,28 @@
 	return c.print(list, rows)
 }
 
-// statusRow is one line of the table of entries.
-func statusRow(st operator.Status) []string {
-	state, connected := "ready", "connected"
+// stateOf is an entry's state for a person.
+func stateOf(st operator.Status) string {
 	switch {
 	case st.Draining:
-		state = "draining"
+		return "draining"
 	case !st.Ready:
-		state = "not ready"
+		return "not ready"
 	}
+	return "ready"
+}
+
+// connectionOf tells for a person whether an entry hears the platform.
+func connectionOf(st operator.Status) string {
 	if !st.PlatformConnected {
-		connected = "lost"
+		return "lost"
 	}
+	return "connected"
+}
+
+// statusRow is one line of the table of entries.
+func statusRow(st operator.Status) []string {
+	state, connected := stateOf(st), connectionOf(st)
 	var services []string
 	for _, s := range st.Services {
 		services = append(services, fmt.Sprintf("%s@%d", s.Name, s.Revision))
--- /dev/null
+++ b/radishweirctl/internal/explainer/explainer.go
@@ -0,0 +1,197 @@
+// Package explainer follows a job of leased entries through their logs.
+//
+// # Usage
+//
+//	lines, err := explainer.Read(os.Stdin)
+//	fmt.Print(explainer.Explain(lines, "5c0e7a21d94b36f8"))
+//
+// The logs of all entries are read together, in any order.
+package explainer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// lookBack and lookAhead bound the surroundings of a job: registrations of
+	// dead entries lapse within two seconds.
+	lookBack  = 2500 * time.Millisecond
+	lookAhead = 500 * time.Millisecond
+)
+
+// surroundings are the events that may explain what became of a job.
+var surroundings = map[string]string{
+	"started": "an entry was started", "draining": "an entry is being stopped", "stopped": "an entry ended",
+	"peer_down": "an entry lost a peer", "peer_up": "an entry reached a peer",
+	"member_left": "a registration is gone", "member_joined": "an entry registered",
+	"registration_failed": "an entry cannot register", "renewals_failing": "the store does not answer an entry's renewals",
+	"renewals_answered": "the store answers again", "platform_watch_lost": "the store's changes cannot be followed",
+	"platform_watch_up": "the store's changes are followed again", "platform_went_back": "the store lost changes",
+	"ownership_changed": "upstreams got another owner", "upstream_has_newer_owner": "an upstream refused a former owner",
+	"upstream_ejected": "an upstream gets no new runs", "upstream_admitted": "an upstream gets runs again",
+	"upstream_gone": "an upstream is no longer listed", "runs_lost": "runs were lost with their upstream",
+	"configuration_in_force": "a configuration came into force", "settings_in_force": "settings changed",
+	"job_lines_left_out": "more jobs were refused than lines were written",
+}
+
+// Explanation is what the logs tell of a job.
+type Explanation struct {
+	Job string `json:"job"`
+	// Cause is one sentence.
+	Cause string `json:"cause"`
+	// Next says where to look.
+	Next string `json:"next"`
+	// Lines are those of the job itself.
+	Lines []Line `json:"lines"`
+	// Around sums up what else happened at that time.
+	Around []Sum `json:"around"`
+	// Upstreams are events of the upstreams at which runs of the job went wrong.
+	Upstreams []Line `json:"upstreams"`
+}
+
+// Sum stands for all events of one kind.
+type Sum struct {
+	Event   string `json:"event"`
+	Meaning string `json:"meaning"`
+	Count   int    `json:"count"`
+	// Entries are those that wrote it, Subjects what it was about.
+	Entries  []string  `json:"entries"`
+	Subjects []string  `json:"subjects"`
+	First    time.Time `json:"first"`
+	Last     time.Time `json:"last"`
+}
+
+// Explain follows a job.
+func Explain(lines []Line, id string) Explanation {
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	out := Explanation{Job: id}
+	for _, l := range lines {
+		if l.Field["job"] == id || strings.HasPrefix(l.Field["task"], id+".") {
+			out.Lines = append(out.Lines, l)
+		}
+	}
+	if len(out.Lines) == 0 {
+		out.Cause = "no line: it never arrived, was answered in time, was refused beyond the lines that are written, or its entry ended"
+		out.Next = "the time at which it was sent: entries that started after it, lost their peers or left; job_lines_left_out"
+		out.Around = sums(lines, func(l Line) bool {
+			return l.Event == "started" || l.Event == "member_left" || l.Event == "draining" || l.Event == "job_lines_left_out"
+		})
+		return out
+	}
+	last := out.Lines[len(out.Lines)-1]
+	out.Cause, out.Next = verdict(last)
+	from, to := out.Lines[0].Time, last.Time.Add(lookAhead)
+	if ms, err := strconv.Atoi(last.Field["after_ms"]); err == nil {
+		from = last.Time.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	from = from.Add(-lookBack)
+	inTime := func(l Line) bool { return !l.Time.Before(from) && !l.Time.After(to) }
+	out.Around = sums(lines, inTime)
+	missed := missedAt(last)
+	for _, l := range lines {
+		if inTime(l) && l.Field["upstream"] != "" && slices.Contains(missed, l.Field["upstream"]) && surroundings[l.Event] != "" {
+			out.Upstreams = append(out.Upstreams, l)
+		}
+	}
+	return out
+}
+
+// missedAt reads the upstreams at which runs of a job went wrong.
+func missedAt(l Line) []string {
+	list := strings.Trim(l.Field["missed_at"], "[]")
+	if list == "" {
+		return nil
+	}
+	out := strings.Split(list, ",")
+	for i := range out {
+		out[i] = strings.Trim(out[i], `"`)
+	}
+	return out
+}
+
+// sums groups the events that explain something.
+func sums(lines []Line, match func(Line) bool) []Sum {
+	byEvent := make(map[string]*Sum)
+	for _, l := range lines {
+		if surroundings[l.Event] == "" || !match(l) {
+			continue
+		}
+		s := byEvent[l.Event]
+		if s == nil {
+			s = &Sum{Event: l.Event, Meaning: surroundings[l.Event], First: l.Time}
+			byEvent[l.Event] = s
+		}
+		s.Count++
+		s.Last = l.Time
+		s.Entries = insert(s.Entries, l.Entry)
+		s.Subjects = insert(s.Subjects, cmp.Or(l.Field["peer"], l.Field["upstream"], l.Field["key"], l.Field["prefix"]))
+	}
+	out := make([]Sum, 0, len(byEvent))
+	for _, s := range byEvent {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b Sum) int { return cmp.Or(a.First.Compare(b.First), strings.Compare(a.Event, b.Event)) })
+	return out
+}
+
+// insert adds a value to a sorted list without duplicates.
+func insert(list []string, v string) []string {
+	i, found := slices.BinarySearch(list, v)
+	if found || v == "" {
+		return list
+	}
+	return slices.Insert(list, i, v)
+}
+
+// mostNames bounds the names that are printed of one list.
+const mostNames = 6
+
+// names prints a list for a person.
+func names(list []string) string {
+	if len(list) > mostNames {
+		return fmt.Sprintf("%s and %d more", strings.Join(list[:mostNames], ", "), len(list)-mostNames)
+	}
+	return strings.Join(list, ", ")
+}
+
+// clock is the format of times for a person.
+const clock = "15:04:05.000"
+
+// String prints the explanation for a person.
+func (e Explanation) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s\ncause: %s\nlook next at: %s\n", e.Job, e.Cause, e.Next)
+	section(&b, "its lines", e.Lines)
+	section(&b, "where its runs went wrong", e.Upstreams)
+	if len(e.Around) > 0 {
+		b.WriteString("\nat that time\n")
+	}
+	for _, s := range e.Around {
+		fmt.Fprintf(&b, "  %s to %s  %s x%d (%s)", s.First.Format(clock), s.Last.Format(clock), s.Event, s.Count, s.Meaning)
+		if len(s.Entries) > 0 {
+			fmt.Fprintf(&b, ", from %s", names(s.Entries))
+		}
+		if len(s.Subjects) > 0 {
+			fmt.Fprintf(&b, ", about %s", names(s.Subjects))
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// section prints lines below a title.
+func section(b *strings.Builder, title string, lines []Line) {
+	if len(lines) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\n%s\n", title)
+	for _, l := range lines {
+		fmt.Fprintf(b, "  %s\n", l.Text)
+	}
+}
--- /dev/null
+++ b/radishweirctl/internal/explainer/verdict.go
@@ -0,0 +1,54 @@
+package explainer
+
+import "strconv"
+
+// cause is a possible cause of what became of a job.
+type cause struct {
+	state, reason string
+	text, next    string
+}
+
+// causes are the outcomes that are logged, the same as in docs/OPERATIONS.md.
+var causes = []cause{
+	{"refused", "the queue is too long", "overload: the work before it takes longer than its time", overload},
+	{"refused", "no room in time", "no upstream came free while it could still end in time", overload},
+	{"refused", "the caller's deadline passed", "no upstream came free before its caller left", overload},
+	{
+		"refused", "no upstream is large enough", "it fits no listed upstream, or none is listed",
+		"radishweir_upstream_list_age_seconds and the job's declared needs",
+	},
+	{
+		"failed", "", "a task failed as often as its queue allows",
+		"missed_at: the same upstreams for many jobs point at these, different ones at the job",
+	},
+	{
+		"expired", "", "its caller's deadline passed while it ran: a run hung, was slow or its owner was cut off",
+		"missed_at, then peer_down, runs_lost and upstream_has_newer_owner",
+	},
+	{"cancelled", "", "its caller left before the answer", "after_ms against the caller's deadline"},
+	{
+		"complete", "", "it was answered late: it waited, or ran on slow upstreams, or again after a lost run",
+		"missed_at, runs_lost and peer_down; with none of them, overload",
+	},
+}
+
+const overload = "upstreams_usable and peers_up in the line against those of calm times, then upstream_ejected and peer_down; " +
+	"with none of them, more load than room"
+
+// verdict explains the last line about a job.
+func verdict(l Line) (text, next string) {
+	if l.Event != "job_ended" {
+		return "it was open at the end of these logs", "the logs after " + l.Time.Format(clock)
+	}
+	for _, c := range causes {
+		if c.state != l.Field["state"] || (c.reason != "" && c.reason != l.Field["reason"]) {
+			continue
+		}
+		text = c.text
+		if n := len(missedAt(l)); n > 0 {
+			text += "; runs went wrong or were left at " + strconv.Itoa(n) + " upstreams"
+		}
+		return text, c.next
+	}
+	return "state " + l.Field["state"] + " " + l.Field["reason"], "docs/OPERATIONS.md"
+}
