--- /dev/null
+++ b/lib/committer/committer.go
@@ -0,0 +1,183 @@
+// Package committer writes many independent changes to the platform's store in
+// few transactions.
+//
+// Changes that wait at the same time go into one transaction. A transaction is
+// all or nothing, so after a conflict each of its changes is tried alone. A
+// change whose answer was lost is tried again until its fate is known.
+//
+// # Usage
+//
+//	c := &committer.Committer{Store: store, Interval: 30 * time.Millisecond, Log: log}
+//	go c.Run(ctx)
+//	c.Commit(platform.Write{Key: key, Value: value, Expected: revision}, func(revision int64, err error) { ... })
+package committer
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/platform"
+)
+
+const (
+	// batchLimit is the most changes in a transaction; each takes two of the 32
+	// entries that the store allows.
+	batchLimit = 16
+	// batchBytes bounds the values of a transaction, well under what the store
+	// takes for one value.
+	batchBytes = 256 << 10
+	// callTimeout bounds one call to the store.
+	callTimeout = 1500 * time.Millisecond
+	// retryInterval is the pause before a change of unknown fate is tried again.
+	retryInterval = 100 * time.Millisecond
+)
+
+// Committer writes changes. Exported fields are set before Run.
+type Committer struct {
+	Store platform.Store
+	// Interval returns the shortest time between two transactions; nil for none.
+	Interval func() time.Duration
+	// Log receives events.
+	Log zerolog.Logger
+
+	mu    sync.Mutex
+	queue []change
+	wake  chan struct{}
+	last  time.Time
+}
+
+// change is one write and who waits for it.
+type change struct {
+	write platform.Write
+	done  func(revision int64, err error)
+}
+
+// Commit queues a conditional write. Done is called once its fate is known, with
+// the new revision, platform.ErrConflict, or platform.ErrUnavailable if nothing
+// was written; it must not block.
+func (c *Committer) Commit(w platform.Write, done func(revision int64, err error)) {
+	c.mu.Lock()
+	c.queue = append(c.queue, change{w, done})
+	if c.wake == nil {
+		c.wake = make(chan struct{}, 1)
+	}
+	wake := c.wake
+	c.mu.Unlock()
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes until ctx ends.
+func (c *Committer) Run(ctx context.Context) {
+	c.mu.Lock()
+	if c.wake == nil {
+		c.wake = make(chan struct{}, 1)
+	}
+	wake := c.wake
+	c.mu.Unlock()
+	for ctx.Err() == nil {
+		batch := c.take()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-wake:
+				c.pace(ctx)
+			}
+			continue
+		}
+		c.write(ctx, batch)
+		c.pace(ctx)
+	}
+}
+
+// pace waits until the next transaction may begin.
+func (c *Committer) pace(ctx context.Context) {
+	if c.Interval != nil {
+		pause(ctx, time.Until(c.last.Add(c.Interval())))
+	}
+}
+
+// take returns the changes of the next transaction.
+func (c *Committer) take() []change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, size := 0, 0
+	for n < len(c.queue) && n < batchLimit && (n == 0 || size+len(c.queue[n].write.Value) <= batchBytes) {
+		size += len(c.queue[n].write.Value)
+		n++
+	}
+	batch := c.queue[:n:n]
+	c.queue = c.queue[n:]
+	return batch
+}
+
+// write writes a batch in one transaction, or one by one if that fails.
+func (c *Committer) write(ctx context.Context, batch []change) {
+	c.last = time.Now()
+	writes := make([]platform.Write, 0, len(batch))
+	for _, b := range batch {
+		writes = append(writes, b.write)
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	revision, err := c.Store.Swap(call, writes...)
+	cancel()
+	unknown := errors.Is(err, platform.ErrUnknown)
+	if err == nil || errors.Is(err, platform.ErrUnavailable) || (len(batch) == 1 && !unknown) {
+		for _, b := range batch {
+			b.done(revision, err)
+		}
+		return
+	}
+	c.Log.Info().Int("writes", len(batch)).Err(err).Msg("transaction_split")
+	for _, b := range batch {
+		if unknown {
+			// Its fate may take as long as an outage of the store.
+			go func() { b.done(c.settle(ctx, b.write)) }()
+			continue
+		}
+		c.write(ctx, []change{b})
+	}
+}
+
+// settle tries a change of unknown fate until it is known.
+func (c *Committer) settle(ctx context.Context, w platform.Write) (int64, error) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		revision, err := c.Store.Swap(call, w)
+		cancel()
+		if err == nil {
+			return revision, nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			kv, err := c.Store.Get(call, w.Key)
+			cancel()
+			switch {
+			case err != nil:
+			case w.Delete == (kv.Revision == 0) && (w.Delete || bytes.Equal(kv.Value, w.Value)):
+				return kv.Revision, nil
+			default:
+				return 0, platform.ErrConflict
+			}
+		}
+		pause(ctx, retryInterval)
+	}
+	return 0, platform.ErrUnknown
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -33,6 +33,8 @@
 type Local interface {
 	Request(ctx context.Context, requester string, q *wire.RunRequest)
 	Cancel(ctx context.Context, c *wire.RunCancel)
+	// Safe tells that the end of a kept run may be forgotten.
+	Safe(s *wire.RunSafe)
 }
 
 // Remote sends messages to the owners of other upstreams; false if a peer is
@@ -66,6 +68,8 @@
 	Local       Local
 	Remote      Remote
 	Observer    Observer
+	// Keeper stores what becomes of kept jobs; nil if there are none.
+	Keeper Keeper
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -74,8 +78,11 @@
 	refusals zerolog.Logger
 	leftOut  leftOut
 
-	mu       sync.Mutex
-	jobs     map[string]*job
+	mu   sync.Mutex
+	jobs map[string]*job
+	// keptOpen counts the kept ones, holder is the identity whose jobs may be run.
+	keptOpen int
+	holder   string
 	waiting  []*job
 	sites    map[string]*site
 	services map[string][]*site
@@ -87,7 +94,13 @@
 	// started counts core-seconds of started work, rooms the cores.
 	started flow
 	rooms   flow
-	scratch []packer.Candidate
+	// surveys are those of the last pass by service. The rate is the work that this
+	// entry gets started, in core-seconds for each second: what it got lately, or
+	// its share of the fleet if that is more.
+	surveys  map[string]*survey
+	lookedAt time.Time
+	rate     float64
+	scratch  []packer.Candidate
 }
 
 // message is a request or a cancellation for the owner of an upstream.
@@ -95,6 +108,7 @@
 	owner  string
 	start  *wire.RunRequest
 	cancel *wire.RunCancel
+	safe   *wire.RunSafe
 }
 
 // Init prepares the coordinator; it is called once before any other method.
@@ -110,6 +124,7 @@
 
 // Run places waiting tasks until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
+	var last time.Time
 	t, second := time.NewTimer(0), time.NewTicker(time.Second)
 	defer t.Stop()
 	defer second.Stop()
@@ -120,10 +135,15 @@
 			c.reportLeftOut()
 			continue
 		case <-c.wake:
+			// Everything that happens within the gap is taken in one pass.
+			if gap := time.Until(last.Add(passGap)); gap > 0 {
+				t.Reset(gap)
+				continue
+			}
 		case <-t.C:
 		}
-		next := c.Pass(time.Now())
-		t.Reset(next)
+		last = time.Now()
+		t.Reset(c.Pass(last))
 	}
 }
 
@@ -181,12 +201,14 @@
 
 // sortWaiting orders the waiting jobs by rank; the caller holds the lock.
 func (c *Coordinator) sortWaiting() {
+	now := time.Now()
 	ranks := make(map[string]float64, len(c.kinds))
 	for name, k := range c.kinds {
 		ranks[name] = k.rank(1)
 	}
+	rank := func(j *job) float64 { return j.value * ranks[j.Kind] * lateness(j, now) }
 	slices.SortFunc(c.waiting, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.value*ranks[b.Kind], a.value*ranks[a.Kind]), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), a.Arrived.Compare(b.Arrived))
 	})
 }
 
@@ -207,7 +229,11 @@
 // caller holds the lock.
 func (c *Coordinator) close(j *job, a Answer) []message {
 	delete(c.jobs, j.ID)
-	c.remember(j, a)
+	if j.kept() {
+		c.keptOpen--
+	} else {
+		c.remember(j, a)
+	}
 	if i := slices.Index(c.waiting, j); i >= 0 {
 		c.waiting = slices.Delete(c.waiting, i, i+1)
 	}
@@ -263,6 +289,10 @@
 func (c *Coordinator) emit(list []message) {
 	for _, m := range list {
 		switch {
+		case m.safe != nil && m.owner == c.Self:
+			c.Local.Safe(m.safe)
+		case m.safe != nil:
+			c.Remote.Send(m.owner, func(f *wire.PeerFrame) { f.Safe = append(f.Safe, m.safe) })
 		case m.owner == c.Self && m.start != nil:
 			c.Local.Request(c.ctx, c.Self, m.start)
 		case m.owner == c.Self:
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -19,6 +19,10 @@
 // several times what entries differ by in reading the list.
 const unlistedMemory = 10 * time.Second
 
+// keptRecheck is the time between two looks whether the upstream of a kept run
+// at a silent peer is gone.
+const keptRecheck = 500 * time.Millisecond
+
 // site is an upstream as this entry sees it.
 type site struct {
 	runner.Upstream
@@ -73,8 +77,12 @@
 func (c *Coordinator) candidates(j *job, avoid map[string]bool, n int, left time.Duration) []packer.Candidate {
 	fits := 0
 	list := c.scratch[:0]
-	for _, s := range c.services[j.Service] {
-		if !c.usable(s) || avoid[s.Name] {
+	v := c.surveys[j.Service]
+	if v == nil {
+		return nil
+	}
+	for _, s := range v.open {
+		if avoid[s.Name] {
 			continue
 		}
 		if time.Duration(float64(j.expected())*s.slowness) > left {
@@ -188,6 +196,10 @@
 			s.owner = owner
 			moved[s.Name] = true
 		}
+		if s.token != 0 && u.GetToken() > s.token {
+			// A new life of the owner, or one that was fenced off meanwhile.
+			moved[s.Name] = true
+		}
 		s.known, s.usable = u.GetToken() != 0, u.GetUsable()
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountOf(u.GetFree())
@@ -195,7 +207,7 @@
 	}
 	var out []message
 	if len(moved) > 0 {
-		out = c.reattach(func(t *task) bool { return moved[t.upstream] && t.owner != owner })
+		out = c.reattach(func(t *task) bool { return moved[t.upstream] })
 	}
 	waiting := len(c.waiting) > 0 || c.begunCores() > 0
 	c.mu.Unlock()
@@ -251,6 +263,12 @@
 		l.lost = time.Time{}
 		for _, j := range c.jobs {
 			for _, t := range j.tasks {
+				if t.placed && t.owner == name && j.kept() && c.sites[t.upstream] != nil {
+					// The peer may live and hold the end of the run. Whoever owns the
+					// upstream next looks, or the peer tells when it is back.
+					l.lost = now.Add(keptRecheck)
+					continue
+				}
 				if t.placed && t.owner == name {
 					out = append(out, c.ended(t, &wire.RunEnd{
 						Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -32,8 +32,22 @@
 	Until time.Time
 	// MaxFailures is the number of failed runs of a task that fail the job.
 	MaxFailures int
+
+	// Holder is the identity under which the job is kept: it has an answer only
+	// in the store and runs whether or not a caller waits. Empty for jobs that
+	// end with their callers.
+	Holder string
+	// Done holds the tasks of a kept job that were done before.
+	Done []uint32
+	// Failures holds the failed runs of its tasks before.
+	Failures map[uint32]uint32
+	// FirstRun is the number below its first run.
+	FirstRun uint64
 }
 
+// kept reports whether the job outlives its callers.
+func (j *Job) kept() bool { return j.Holder != "" }
+
 // State is the outcome of a job.
 type State int
 
@@ -49,11 +63,13 @@
 	Expired
 	// Cancelled: the caller left.
 	Cancelled
+	// Accepted: the job is stored and will be run.
+	Accepted
 )
 
 // String returns the state's name in logs and metrics.
 func (s State) String() string {
-	return [...]string{"open", "complete", "failed", "refused", "expired", "cancelled"}[s]
+	return [...]string{"open", "complete", "failed", "refused", "expired", "cancelled", "accepted"}[s]
 }
 
 // Answer is the outcome of a job for its caller.
@@ -105,7 +121,13 @@
 func newJob(j Job, run uint64) *job {
 	out := &job{Job: j, answer: make(chan Answer, 1), tasks: make([]*task, j.Tasks)}
 	for i := range out.tasks {
-		out.tasks[i] = &task{job: out, index: i, run: run}
+		out.tasks[i] = &task{job: out, index: i, run: run, failures: int(j.Failures[uint32(i)])}
+	}
+	for _, i := range j.Done {
+		if int(i) < len(out.tasks) && !out.tasks[i].done {
+			out.tasks[i].done = true
+			out.done++
+		}
 	}
 	return out
 }
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -18,6 +18,9 @@
 	idleInterval = time.Second
 	// shortestInterval is the shortest time until a timed pass.
 	shortestInterval = time.Millisecond
+	// passGap is the shortest time between two passes; a small part of the way to
+	// an upstream and back, and of the time of a pass on a slow VM.
+	passGap = 2 * time.Millisecond
 	// startMargin covers the way of an order to an upstream and back.
 	startMargin = 5 * time.Millisecond
 	// runGap is added to a run's number after an upstream had seen a higher one.
@@ -43,36 +46,21 @@
 
 // backlog is the time until the waiting jobs are started; the caller holds the
 // lock.
-func (c *Coordinator) backlog(now time.Time) time.Duration {
+func (c *Coordinator) backlog() time.Duration {
 	sum := 0.0
 	for _, j := range c.waiting {
 		sum += size(&j.Job)
 	}
-	return time.Duration(sum / c.rate(now) * float64(time.Second))
-}
-
-// rate is the work that this entry gets started, in core-seconds for each
-// second: what it got lately, or its share of the fleet if that is more.
-func (c *Coordinator) rate(now time.Time) float64 {
-	cores, entries := 0.0, 1
-	for _, s := range c.sites {
-		if c.usable(s) {
-			cores += float64(s.Capacity.CPU) / 1000
-		}
-	}
-	for _, l := range c.links {
-		if l.up {
-			entries++
-		}
-	}
-	return max(c.started.rate(now), usableShare*cores/float64(entries), minimumRate)
+	return time.Duration(sum / max(c.rate, minimumRate) * float64(time.Second))
 }
 
 // Pass places what can be placed, refuses what can no longer be answered in
 // time, and returns the time until the next pass is due.
 func (c *Coordinator) Pass(now time.Time) time.Duration {
 	c.mu.Lock()
-	out := c.expire(now)
+	c.look(now)
+	out := c.checkHolder()
+	out = append(out, c.expire(now)...)
 	out = append(out, c.lose(now)...)
 	out = append(out, c.finishBegun(now)...)
 	out = append(out, c.startWaiting(now)...)
@@ -86,12 +74,12 @@
 func (c *Coordinator) expire(now time.Time) []message {
 	var out []message
 	for _, j := range c.jobs {
-		if now.Before(j.Until) {
+		if j.kept() || now.Before(j.Until) {
 			continue
 		}
 		a := Answer{State: Expired, Reason: "the caller's deadline passed"}
 		if !j.begun {
-			a = Answer{State: Refused, Reason: "the caller's deadline passed", RetryAfter: retryAfter(c.backlog(now))}
+			a = Answer{State: Refused, Reason: "the caller's deadline passed", RetryAfter: retryAfter(c.backlog())}
 		}
 		out = append(out, c.close(j, a)...)
 	}
@@ -103,6 +91,9 @@
 func (c *Coordinator) finishBegun(now time.Time) []message {
 	var list []*job
 	for _, j := range c.jobs {
+		if c.suspended(j) {
+			continue
+		}
 		if j.begun && j.placed+j.done < len(j.tasks) {
 			list = append(list, j)
 		}
@@ -111,9 +102,13 @@
 	var out []message
 	for _, j := range list {
 		for _, t := range j.open() {
-			found := c.candidates(j, t.avoid, 1, j.Until.Sub(now))
+			left := j.Until.Sub(now)
+			if j.kept() {
+				left = keptPatience
+			}
+			found := c.candidates(j, t.avoid, 1, left)
 			if found == nil {
-				found = c.candidates(j, nil, 1, j.Until.Sub(now))
+				found = c.candidates(j, nil, 1, left)
 			}
 			if found == nil {
 				break
@@ -131,13 +126,19 @@
 		return nil
 	}
 	var out []message
-	ahead, rate := 0.0, c.rate(now)
+	ahead, rate := 0.0, c.rate
 	c.sortWaiting()
 	for _, j := range slices.Clone(c.waiting) {
+		if c.suspended(j) {
+			continue
+		}
 		left := j.latest().Sub(now) - startMargin
+		if left < c.fastest(j) && j.kept() {
+			left = keptPatience
+		}
 		if left < c.fastest(j) {
 			out = append(out, c.close(j, Answer{
-				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(c.backlog(now)),
+				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(c.backlog()),
 			})...)
 			continue
 		}
@@ -145,7 +146,8 @@
 		chosen := c.choose(j, open, left, now)
 		if chosen == nil {
 			ahead += size(&j.Job)
-			if wait := time.Duration(ahead / rate * float64(time.Second)); wait.Seconds() > patience*(left-c.fastest(j)).Seconds() {
+			wait := time.Duration(ahead / rate * float64(time.Second))
+			if !j.kept() && wait.Seconds() > patience*(left-c.fastest(j)).Seconds() {
 				out = append(out, c.close(j, Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)})...)
 			}
 			continue
@@ -190,20 +192,6 @@
 	return sum
 }
 
-// fastest is the shortest run time that is expected for a task of the job.
-func (c *Coordinator) fastest(j *job) time.Duration {
-	best := 0.0
-	for _, s := range c.services[j.Service] {
-		if c.usable(s) && s.Capacity.Holds(j.Need) && (best == 0 || s.slowness < best) {
-			best = s.slowness
-		}
-	}
-	if best == 0 {
-		best = 1
-	}
-	return time.Duration(float64(j.expected()) * best)
-}
-
 // place assigns tasks to the chosen upstreams, as far as these reach.
 func (c *Coordinator) place(j *job, tasks []*task, chosen []string, now time.Time) []message {
 	var out []message
@@ -230,7 +218,7 @@
 	j, s := t.job, c.sites[t.upstream]
 	q := &wire.RunRequest{
 		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.MessageOf(j.Need),
-		ExpectedMs: float64(j.expected().Microseconds()) / 1000, Attach: attach,
+		ExpectedMs: float64(j.expected().Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
 	}
 	if !attach {
 		q.Spec = j.Spec
@@ -257,8 +245,11 @@
 func (c *Coordinator) Ended(owner string, e *wire.RunEnd) {
 	c.mu.Lock()
 	var out []message
-	if t := c.find(e); t != nil && (t.owner == owner || listed(e.GetCause())) {
+	switch t := c.find(e); {
+	case t != nil && (t.owner == owner || listed(e.GetCause())):
 		out = c.ended(t, e)
+	case t == nil && c.Keeper != nil && meaningful(e.GetCause()):
+		c.stray(e)
 	}
 	c.mu.Unlock()
 	c.emit(out)
@@ -280,15 +271,17 @@
 		t.done = true
 		j.ran = true
 		j.done++
+		c.taskEnded(t, e)
 		if j.done == len(j.tasks) {
-			return c.close(j, Answer{State: Complete})
+			return c.end(j, Answer{State: Complete})
 		}
 	case wire.RunEnd_failed:
 		j.ran = true
 		t.failures++
+		c.taskEnded(t, e)
 		t.miss(e.GetUpstream())
 		if t.failures >= max(j.MaxFailures, 1) {
-			return c.close(j, Answer{State: Failed, Reason: "a task failed too often"})
+			return c.end(j, Answer{State: Failed, Reason: "a task failed too often"})
 		}
 	case wire.RunEnd_stopped, wire.RunEnd_lost:
 		j.ran = true
@@ -322,12 +315,18 @@
 	t.avoid[upstream] = true
 }
 
+// parseTask splits a task's identifier at upstreams into its job and index.
+func parseTask(name string) (job string, index int, ok bool) {
+	id, rest, _ := strings.Cut(name, ".")
+	i, err := strconv.Atoi(rest[strings.LastIndex(rest, ".")+1:])
+	return id, i, err == nil && i >= 0
+}
+
 // find returns the placed task of a run, nil if there is none.
 func (c *Coordinator) find(e *wire.RunEnd) *task {
-	id, rest, _ := strings.Cut(e.GetTask(), ".")
-	i, err := strconv.Atoi(rest[strings.LastIndex(rest, ".")+1:])
+	id, i, ok := parseTask(e.GetTask())
 	j := c.jobs[id]
-	if err != nil || j == nil || i >= len(j.tasks) {
+	if !ok || j == nil || i >= len(j.tasks) {
 		return nil
 	}
 	t := j.tasks[i]
@@ -341,12 +340,15 @@
 func (c *Coordinator) next(now time.Time) time.Duration {
 	next := now.Add(idleInterval)
 	for _, j := range c.waiting {
+		if j.kept() {
+			continue
+		}
 		if at := j.latest().Add(-startMargin - c.fastest(j)); at.Before(next) {
 			next = at
 		}
 	}
 	for _, j := range c.jobs {
-		if j.Until.Before(next) {
+		if !j.kept() && j.Until.Before(next) {
 			next = j.Until
 		}
 	}
--- /dev/null
+++ b/lib/coordinator/survey.go
@@ -0,0 +1,101 @@
+package coordinator
+
+import (
+	"time"
+
+	"radishweir.org/lib/packer"
+)
+
+// survey is what one pass needs to know of the upstreams of a service. A pass
+// looks at every upstream once, however many jobs wait.
+type survey struct {
+	// least is what the smallest open task takes, in each respect; any is true if
+	// there is one.
+	least packer.Amount
+	any   bool
+	// open are the usable upstreams with room for that at the beginning.
+	open []*site
+	// fastest is the lowest slowness of the usable upstreams by capacity; there are
+	// few different capacities.
+	fastest map[packer.Amount]float64
+}
+
+// look surveys all upstreams; the caller holds the lock.
+func (c *Coordinator) look(now time.Time) {
+	cores, entries := 0.0, 1
+	if c.surveys == nil {
+		c.surveys = make(map[string]*survey)
+	}
+	for name := range c.services {
+		v := c.surveys[name]
+		if v == nil {
+			v = &survey{fastest: make(map[packer.Amount]float64)}
+			c.surveys[name] = v
+		}
+		v.open, v.any = v.open[:0], false
+	}
+	waits := false
+	for _, j := range c.jobs {
+		if v := c.surveys[j.Service]; v != nil && j.placed+j.done < len(j.tasks) {
+			v.need(j.Need)
+			waits = true
+		}
+	}
+	if !waits && now.Sub(c.lookedAt) < idleInterval {
+		// Nothing is to be placed; the rate changes slowly.
+		return
+	}
+	c.lookedAt = now
+	for name, list := range c.services {
+		v := c.surveys[name]
+		clear(v.fastest)
+		for _, s := range list {
+			if !c.usable(s) {
+				continue
+			}
+			cores += float64(s.Capacity.CPU) / 1000
+			if best, ok := v.fastest[s.Capacity]; !ok || s.slowness < best {
+				v.fastest[s.Capacity] = s.slowness
+			}
+			if v.any && s.room().Holds(v.least) {
+				v.open = append(v.open, s)
+			}
+		}
+	}
+	for name := range c.surveys {
+		if c.services[name] == nil {
+			delete(c.surveys, name)
+		}
+	}
+	for _, l := range c.links {
+		if l.up {
+			entries++
+		}
+	}
+	c.rate = max(c.started.rate(now), usableShare*cores/float64(entries), minimumRate)
+}
+
+// need takes a task that waits.
+func (v *survey) need(a packer.Amount) {
+	if !v.any {
+		v.any, v.least = true, a
+		return
+	}
+	v.least = packer.Amount{CPU: min(v.least.CPU, a.CPU), Memory: min(v.least.Memory, a.Memory), GPU: min(v.least.GPU, a.GPU)}
+}
+
+// fastest is the shortest run time that is expected for a task of the job.
+func (c *Coordinator) fastest(j *job) time.Duration {
+	best := 0.0
+	if v := c.surveys[j.Service]; v != nil {
+		for capacity, slowness := range v.fastest {
+			if capacity.Holds(j.Need) && (best == 0 || slowness < best) {
+				best = slowness
+			}
+		}
+	}
+	if best == 0 {
+		best = 1
+	}
+	return time.Duration(float64(j.expected()) * best)
+}
--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -15,6 +15,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,9 +52,16 @@
 	Store platform.Store
 	// Changed is called after the registrations changed.
 	Changed func()
+	// Departed is called after entries or identities may have gone; nil if there are
+	// no kept jobs.
+	Departed func()
+	// Lost is called after the identity under which jobs are kept ended; nil if
+	// none are.
+	Lost func()
 	// Log receives events.
 	Log zerolog.Logger
 
+	holding
 	mu       sync.Mutex
 	members  retainer.Retainer[*wire.Registration]
 	revision int64
@@ -69,10 +78,13 @@
 	e.mu.Lock()
 	e.wake = make(chan struct{}, 1)
 	e.mu.Unlock()
-	for ctx.Err() == nil && !e.stopped.Load() {
+	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		e.renew(call)
+		if !e.stopped.Load() {
+			e.renew(call)
+		}
 		cancel()
+		e.renewHolder(ctx)
 		select {
 		case <-ctx.Done():
 		case <-e.wake:
@@ -133,9 +145,18 @@
 	return nil
 }
 
-// Stop ends the renewals, before Leave.
+// Stop ends the renewals of the registration, before Leave.
 func (e *Enroller) Stop() { e.stopped.Store(true) }
 
+// Registered reports whether this life of the entry is registered, as far as
+// this entry knows.
+func (e *Enroller) Registered() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self, there := e.members.Get(e.Self.GetName())
+	return there && self.GetIncarnation() == e.Self.GetIncarnation()
+}
+
 // Leave removes the registration, so that others take over the upstreams.
 func (e *Enroller) Leave(ctx context.Context) error {
 	_, err := e.Store.Swap(ctx, platform.Write{Key: e.key(), Unconditional: true, Delete: true})
@@ -149,6 +170,9 @@
 	e.mu.Lock()
 	now := time.Now()
 	e.members.Grace = outageGrace
+	if u.Reset {
+		e.holders = make(map[string]bool)
+	}
 	if u.Reset && e.members.Reset(now) {
 		time.AfterFunc(outageGrace, func() { e.Changed() })
 	}
@@ -160,6 +184,9 @@
 	e.missing = e.lease != 0 && (!there || self.GetIncarnation() != e.Self.GetIncarnation())
 	missing, wake := e.missing, e.wake
 	e.mu.Unlock()
+	if e.Departed != nil && (u.Reset || slices.ContainsFunc(u.Events, func(v platform.Event) bool { return v.Deleted })) {
+		e.Departed()
+	}
 	if missing && wake != nil {
 		select {
 		case wake <- struct{}{}:
@@ -172,6 +199,10 @@
 // apply takes one change; the caller holds the lock.
 func (e *Enroller) apply(v platform.Event, now time.Time) {
 	name := v.Key[len(platform.EntryPrefix):]
+	if strings.Contains(name, holderMark) {
+		e.applyHolder(name, v)
+		return
+	}
 	e.revision = max(e.revision, v.Revision)
 	if v.Deleted {
 		e.members.Drop(name, now)
--- a/lib/imitator/imitator.go
+++ b/lib/imitator/imitator.go
@@ -106,6 +106,8 @@
 	runs    map[key]*work
 	ends    []runner.Ended
 	count   uint64
+	// lapsed is the number of the last end before a lease ran out.
+	lapsed uint64
 	// stopped holds the highest run of each task that was stopped or ended.
 	stopped map[string]uint64
 	changed chan struct{}
@@ -120,12 +122,19 @@
 	Length func(task string) time.Duration
 	// Amount is what a task takes.
 	Amount packer.Amount
+	// Kept reports whether a task must not start again once an owner took note of
+	// its being done; nil for none.
+	Kept func(task string) bool
 
 	mu         sync.Mutex
 	upstreams  map[string]*Upstream
 	running    map[string]int
 	starts     map[string]int
 	violations []string
+	// noted holds the kept tasks whose being done was taken note of.
+	noted map[string]bool
+	// again holds the kept tasks that started while such an end was listed.
+	again map[string]bool
 }
 
 // New returns a fleet without upstreams.
@@ -133,6 +142,7 @@
 	return &Fleet{
 		Length:    func(string) time.Duration { return 100 * time.Millisecond },
 		upstreams: make(map[string]*Upstream), running: make(map[string]int), starts: make(map[string]int),
+		noted: make(map[string]bool), again: make(map[string]bool),
 	}
 }
 
@@ -153,6 +163,20 @@
 	f.Fault = fault
 }
 
+// SetKept replaces Kept between orders.
+func (f *Fleet) SetKept(kept func(task string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Kept = kept
+}
+
+// SetLength replaces Length between orders.
+func (f *Fleet) SetLength(length func(task string) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Length = length
+}
+
 // Do changes an upstream.
 func (f *Fleet) Do(name string, change func(u *Upstream)) {
 	f.mu.Lock()
@@ -300,6 +324,7 @@
 		f.violations = append(f.violations, fmt.Sprintf("two runs of %s at the same time", o.Task))
 	}
 	f.starts[o.Task]++
+	f.judgeStart(o.Task)
 	u.Started++
 	w := &work{key: k, amount: f.Amount, since: time.Now()}
 	u.runs[k] = w
@@ -340,6 +365,8 @@
 	u.lapse = time.AfterFunc(time.Until(until), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		// What an owner has not taken note of by now does not bind anybody.
+		u.lapsed = u.count
 		for _, k := range slices.Collect(maps.Keys(u.runs)) {
 			f.end(u, k, wire.RunEnd_lost)
 		}
@@ -380,6 +407,7 @@
 	}
 	u.token = l.Token
 	u.renew(f, l.Expires)
+	f.judgeNoted(u, l.Observed)
 	u.ends = slices.DeleteFunc(u.ends, func(e runner.Ended) bool { return e.Number <= l.Observed })
 	rep := runner.Report{Clock: u.clock(), Incarnation: u.Incarnation, Ended: slices.Clone(u.ends)}
 	for k, w := range u.runs {
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -66,7 +66,17 @@
 	p.changed[upstream] = true
 	if !p.timed {
 		p.timed = true
-		time.AfterFunc(delay, p.signal)
+		time.AfterFunc(delay, p.signalChanged)
+	}
+}
+
+// signalChanged wakes the writer unless another frame took the changes along.
+func (p *peer) signalChanged() {
+	p.mu.Lock()
+	waits := len(p.changed) > 0
+	p.mu.Unlock()
+	if waits {
+		p.signal()
 	}
 }
 
@@ -185,9 +195,10 @@
 
 // frames writes one frame whenever something is queued, else a heartbeat.
 func (p *peer) frames(ctx context.Context, c net.Conn, w *bufio.Writer) error {
-	t := time.NewTicker(heartbeatInterval)
+	t := time.NewTimer(heartbeatInterval)
 	defer t.Stop()
 	for {
+		t.Reset(heartbeatInterval)
 		f := p.take()
 		_ = c.SetWriteDeadline(time.Now().Add(SilenceLimit))
 		if _, err := protodelim.MarshalTo(w, f); err != nil {
--- a/lib/runner/held.go
+++ b/lib/runner/held.go
@@ -62,9 +62,16 @@
 	free     packer.Amount
 	runs     map[key]*run
 	ends     map[key]end
-	observed uint64
-	// unconfirmed is true while the upstream lists ends up to observed.
+	// taken is the number of the last end that was taken.
+	taken uint64
+	// kept are ends by number that the upstream must go on listing.
+	kept map[uint64]keptEnd
+	// safe are runs whose ends may be forgotten before they were listed here.
+	safe map[key]time.Time
+	// unconfirmed is true while the upstream lists ends that may be forgotten.
 	unconfirmed bool
+	// acquired is the time at which the ownership began.
+	acquired time.Time
 	// open is true once the upstream told what runs there.
 	open     bool
 	released bool
@@ -83,7 +90,8 @@
 func newHeld(r *Runner, u Upstream, token int64) *held {
 	return &held{
 		runner: r, wake: make(chan struct{}, 1), upstream: u, token: token, free: u.Capacity,
-		runs: make(map[key]*run), ends: make(map[key]end), health: newHealth(r.Log.With().Str("upstream", u.Name).Logger()),
+		runs: make(map[key]*run), ends: make(map[key]end), kept: make(map[uint64]keptEnd), safe: make(map[key]time.Time),
+		acquired: time.Now(), health: newHealth(r.Log.With().Str("upstream", u.Name).Logger()),
 	}
 }
 
@@ -287,6 +295,10 @@
 		h.free = h.free.Minus(r.amount)
 		return
 	}
+	if e, ok := h.attachKept(requester, q); ok {
+		go h.runner.end(requester, q, e.cause)
+		return
+	}
 	if e, ok := h.ends[k]; ok {
 		go h.runner.end(requester, q, e.cause)
 		return
--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -23,8 +23,12 @@
 		go func() { answer <- h.look(ctx, u, *l) }()
 		select {
 		case err := <-answer:
-			if err != nil {
+			switch {
+			case err != nil:
 				pause(ctx, retryInterval)
+			case h.keeps():
+				// The upstream answers at once while it lists ends.
+				pause(ctx, keptInterval)
 			}
 		case <-time.After(l.Wait + lookSlack):
 			// The next look does not wait for an answer that may be lost; one that
@@ -64,7 +68,7 @@
 			h.mu.Unlock()
 			return
 		}
-		l, u := Look{Token: h.token, Observed: h.observed}, h.upstream
+		l, u := Look{Token: h.token, Observed: h.observed()}, h.upstream
 		h.mu.Unlock()
 		answer := make(chan error, 1)
 		go func() { answer <- h.look(ctx, u, l) }()
@@ -86,7 +90,7 @@
 	time.AfterFunc(r.since.Add(due).Sub(now)+lookSlack, func() {
 		h.mu.Lock()
 		overdue := h.runs[k] == r && !h.released && ctx.Err() == nil
-		l, u := Look{Token: h.token, Observed: h.observed}, h.upstream
+		l, u := Look{Token: h.token, Observed: h.observed()}, h.upstream
 		h.mu.Unlock()
 		if !overdue {
 			return
@@ -123,7 +127,7 @@
 		}
 		h.token = newest
 	}
-	l := &Look{Token: h.token, Observed: h.observed}
+	l := &Look{Token: h.token, Observed: h.observed()}
 	if !h.open {
 		return l, h.upstream, true
 	}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -19,6 +19,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -84,6 +85,9 @@
 	mu    sync.RWMutex
 	held  map[string]*held
 	token int64
+	// claimed are holders whose jobs were taken over.
+	claimed map[string]bool
+	keeping atomic.Bool
 	// early are attachments to upstreams that are not owned yet.
 	early []attachment
 }
@@ -140,6 +144,10 @@
 func (r *Runner) Request(ctx context.Context, requester string, q *wire.RunRequest) {
 	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
 		Str("requester", requester).Bool("attach", q.GetAttach()).Msg("run_requested")
+	if r.isClaimed(q.GetHolder()) {
+		r.end(requester, q, wire.RunEnd_refused)
+		return
+	}
 	if q.GetAttach() {
 		r.attach(ctx, requester, q)
 		return
@@ -249,7 +257,7 @@
 	}
 	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
 		Str("requester", requester).Stringer("cause", cause).Msg("run_ended")
-	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause})
+	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause, Holder: q.GetHolder()})
 }
 
 // AmountOf converts an amount from its message.
--- a/lib/runner/taker.go
+++ b/lib/runner/taker.go
@@ -54,7 +54,8 @@
 // the lock.
 func (h *held) restarted(incarnation int64) {
 	h.upstream.Incarnation = incarnation
-	h.observed, h.clock, h.open = 0, 0, false
+	h.taken, h.clock, h.open = 0, 0, false
+	clear(h.kept)
 	h.health = newHealth(h.log)
 }
 
@@ -70,10 +71,14 @@
 	}
 	h.heard(rep.Clock)
 	h.answered()
-	h.unconfirmed = len(rep.Ended) > 0
 	for _, e := range rep.Ended {
 		h.takeEnd(e, now)
 	}
+	h.expireKept(now)
+	h.unconfirmed = false
+	for _, e := range rep.Ended {
+		h.unconfirmed = h.unconfirmed || e.Number <= h.observed()
+	}
 	h.takeRunning(ctx, rep.Running, sent, now)
 	for k, e := range h.ends {
 		if now.After(e.until) {
@@ -89,12 +94,13 @@
 
 // takeEnd takes one listed end; the caller holds the lock.
 func (h *held) takeEnd(e Ended, now time.Time) {
-	if e.Number <= h.observed {
+	if e.Number <= h.taken {
 		return
 	}
-	h.observed = e.Number
+	h.taken = e.Number
 	k := key{e.Task, e.Run}
 	r := h.runs[k]
+	h.keep(e, r, now)
 	if r == nil {
 		h.ends[k] = end{e.Cause, now.Add(endMemory)}
 		return
--- /dev/null
+++ b/proof/leased_kept_test.go
@@ -0,0 +1,289 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// keptJobs are the kept jobs of one test by what callers know of them.
+type keptJobs struct {
+	*system
+	mu sync.Mutex
+	// accepted were answered with success, cancelled were cancelled since.
+	accepted, cancelled map[string]bool
+	// rejected were turned away at every attempt.
+	rejected []string
+	latency  []time.Duration
+}
+
+// newKept starts entries and workers whose tasks must not repeat.
+func newKept(t *testing.T, entries, workers int) *keptJobs {
+	t.Helper()
+	k := &keptJobs{system: newSystem(t, entries, workers), accepted: make(map[string]bool), cancelled: make(map[string]bool)}
+	k.host.Fleet.SetKept(func(string) bool { return true })
+	return k
+}
+
+// call sends one request about a job; status 0 means no answer.
+func (k *keptJobs) call(method, name, id string, body any) (status int, state string) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		k.t.Error(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+k.front[name]+"/check/"+id, bytes.NewReader(data))
+	if err != nil {
+		k.t.Error(err)
+		return 0, ""
+	}
+	r.Host = "claims.example"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var answer struct{ State string }
+	_ = json.Unmarshal(out, &answer)
+	return resp.StatusCode, answer.State
+}
+
+// submit hands a job in, as callers do: after no answer or 504 once more, at
+// another entry.
+func (k *keptJobs) submit(rng *rand.Rand, id string, tasks int) {
+	body := map[string]any{
+		"spec": "x", "steps": []map[string]any{{"count": tasks, "cpu": 6800, "mem_mb": 64, "estimate_ms": 60}},
+	}
+	rejected := true
+	for range 8 {
+		k.mu.Lock()
+		name := k.names[rng.IntN(len(k.names))]
+		k.mu.Unlock()
+		began := time.Now()
+		status, _ := k.call(http.MethodPost, name, id, body)
+		switch status {
+		case http.StatusOK:
+			k.mu.Lock()
+			k.accepted[id] = true
+			k.latency = append(k.latency, time.Since(began))
+			k.mu.Unlock()
+			return
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			if rejected {
+				k.mu.Lock()
+				k.rejected = append(k.rejected, id)
+				k.mu.Unlock()
+				return
+			}
+		default:
+			rejected = false
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// load hands jobs in until ctx ends, and cancels some.
+func (k *keptJobs) load(ctx context.Context, seed uint64, gap time.Duration) {
+	var wg sync.WaitGroup
+	for i := uint64(1); ctx.Err() == nil; i++ {
+		rng := rand.New(rand.NewPCG(seed, i))
+		wg.Go(func() {
+			id := fmt.Sprintf("%016x", i)
+			k.submit(rng, id, 1+int(i%4))
+			if i%10 == 0 {
+				k.cancel(rng, id)
+			}
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+}
+
+// cancel cancels an accepted job.
+func (k *keptJobs) cancel(rng *rand.Rand, id string) {
+	k.mu.Lock()
+	known, name := k.accepted[id], k.names[rng.IntN(len(k.names))]
+	k.mu.Unlock()
+	if !known {
+		return
+	}
+	status, _ := k.call(http.MethodDelete, name, id, nil)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if status != http.StatusGone {
+		// Without an answer it may be either.
+		k.cancelled[id] = true
+	}
+}
+
+// judge asks for every accepted job until it has ended, and checks what must
+// hold.
+func (k *keptJobs) judge(wait time.Duration) {
+	k.t.Helper()
+	end := time.Now().Add(wait)
+	open := make([]string, 0, len(k.accepted))
+	for id := range k.accepted {
+		open = append(open, id)
+	}
+	last := make(map[string]string)
+	for round := 0; len(open) > 0 && time.Now().Before(end); round++ {
+		open = slices.DeleteFunc(open, func(id string) bool {
+			status, state := k.call(http.MethodGet, k.names[(round+len(id))%len(k.names)], id, nil)
+			last[id] = fmt.Sprintf("%d %s", status, state)
+			return state == "complete" || (state == "cancelled" && k.cancelled[id])
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	slices.Sort(open)
+	for i, id := range open {
+		if i < 5 {
+			k.t.Errorf("the accepted job %s ends as %q", id, last[id])
+		}
+	}
+	for _, v := range k.host.Fleet.Violations() {
+		k.t.Error(v)
+	}
+	for _, id := range k.rejected {
+		for i := range 4 {
+			if k.host.Fleet.Starts(fmt.Sprintf("%s.0.0.%d", id, i)) > 0 {
+				k.t.Errorf("job %s was turned away and its task %d ran", id, i)
+			}
+		}
+	}
+	k.t.Logf("%d accepted, %d cancelled, %d turned away, %d open at the end", len(k.accepted), len(k.cancelled), len(k.rejected), len(open))
+}
+
+// Kept jobs are accepted once stored, and end; their state can be read at any
+// entry.
+func TestLeasedKept(t *testing.T) {
+	k := newKept(t, 4, 16)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	k.load(ctx, 1, 20*time.Millisecond)
+	k.judge(5 * time.Second)
+	if len(k.accepted) < 120 {
+		t.Errorf("%d jobs were accepted in 3 s, want 120", len(k.accepted))
+	}
+	slices.Sort(k.latency)
+	if m := k.latency[len(k.latency)/2]; m > 150*time.Millisecond {
+		t.Errorf("an acceptance takes %v at the median", m)
+	}
+	if status, _ := k.call(http.MethodGet, "entry-1", "ffffffffffffffff", nil); status != http.StatusGone {
+		t.Errorf("a job that nobody submitted is answered %d", status)
+	}
+}
+
+// Every acceptance holds when all entries lose power right after it.
+func TestLeasedKeptPowerLoss(t *testing.T) {
+	k := newKept(t, 3, 6)
+	k.host.Fleet.SetLength(func(string) time.Duration { return 400 * time.Millisecond })
+	for round := range 3 {
+		rng := rand.New(rand.NewPCG(3, uint64(round)))
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				k.submit(rand.New(rand.NewPCG(uint64(round), uint64(i))), fmt.Sprintf("%08x%08x", round+1, i), 2)
+			})
+		}
+		wg.Wait()
+		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+		k.killAll()
+	}
+	k.judge(25 * time.Second)
+	if len(k.accepted) < 30 {
+		t.Errorf("%d of 36 jobs were accepted", len(k.accepted))
+	}
+}
+
+// killAll kills every entry at once and starts it again.
+func (k *keptJobs) killAll() {
+	for _, name := range k.names {
+		_ = k.entries[name].Process.Kill()
+	}
+	for _, name := range k.names {
+		<-k.entries[name].done
+	}
+	for _, name := range k.names {
+		k.run(name)
+	}
+	for _, name := range k.names {
+		k.waitReady(name)
+	}
+}
+
+// The same kept job at several entries, at once and later, is one job.
+func TestLeasedKeptTwice(t *testing.T) {
+	k := newKept(t, 3, 6)
+	body := map[string]any{"spec": "x", "steps": []map[string]any{{"count": 2, "cpu": 6800, "mem_mb": 64, "estimate_ms": 60}}}
+	var wg sync.WaitGroup
+	for _, name := range k.names {
+		wg.Go(func() {
+			if status, _ := k.call(http.MethodPost, name, "00000000000000aa", body); status != http.StatusOK {
+				t.Errorf("%s answers %d", name, status)
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	for _, name := range k.names {
+		if status, _ := k.call(http.MethodPost, name, "00000000000000aa", body); status != http.StatusOK {
+			t.Errorf("%s answers %d to a late duplicate", name, status)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range 2 {
+		if n := k.host.Fleet.Starts(fmt.Sprintf("00000000000000aa.0.0.%d", i)); n != 1 {
+			t.Errorf("task %d started %d times", i, n)
+		}
+	}
+}
+
+// Random kills, also of all entries, freezes, stops, store outages and cut
+// workers: accepted jobs end, none starts again after its end.
+func TestLeasedKeptSoak(t *testing.T) {
+	k := newKept(t, 4, 16)
+	rng := rand.New(rand.NewPCG(*soakSeed, 1))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Duration(*soakSeconds/2)*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { k.load(ctx, *soakSeed, 30*time.Millisecond) })
+	for ctx.Err() == nil {
+		if rng.IntN(6) == 0 {
+			k.killAll()
+		} else {
+			k.trouble(rng)
+		}
+		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
+	}
+	wg.Wait()
+	k.host.Store.SetDown(false)
+	for _, name := range k.names {
+		_ = k.entries[name].Process.Signal(syscall.SIGCONT)
+		k.waitReady(name)
+	}
+	k.judge(30 * time.Second)
+	if t.Failed() {
+		for _, name := range k.names {
+			for line := range strings.Lines(k.entries[name].log.String()) {
+				if strings.Contains(line, "takeover") || strings.Contains(line, "holder") || strings.Contains(line, "kept") {
+					t.Log(strings.TrimSpace(line))
+				}
+			}
+		}
+	}
+}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -25,8 +25,10 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"radishweir.org/lib/committer"
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/enroller"
+	"radishweir.org/lib/keeper"
 	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/operator"
 	"radishweir.org/lib/platform"
@@ -78,6 +80,8 @@
 	runner      *runner.Runner
 	coordinator *coordinator.Coordinator
 	messenger   *messenger.Messenger
+	committer   *committer.Committer
+	keeper      *keeper.Keeper
 	watchers    []*watcher.Watcher
 	callers     *http.Server
 	readiness   *http.Server
@@ -89,6 +93,10 @@
 	draining atomic.Bool
 	closing  atomic.Bool
 	down     sync.Map
+	// keeping is true once any entry keeps jobs.
+	keeping atomic.Bool
+	unsent  notices
+	pending pending
 }
 
 // New builds an entry and binds its sockets. Missed counts log events that were
@@ -111,6 +119,7 @@
 	e.router = &router.Router{Log: e.Log}
 	e.buildWork(rec)
 	e.buildMembership()
+	e.buildKeeper()
 	e.buildServers()
 	return e, e.messenger.Listen()
 }
@@ -130,7 +139,7 @@
 // buildMembership builds the parts that follow the store.
 func (e *Entry) buildMembership() {
 	e.enroller = &enroller.Enroller{Self: e.self, Store: e.store, Changed: e.divide, Log: e.Log}
-	e.roster = &roster.Roster{Decode: adapter.DecodeUpstream, Changed: e.divide, Log: e.Log}
+	e.roster = &roster.Roster{Decode: (&adapter.UpstreamDecoder{}).Decode, Changed: e.divide, Log: e.Log}
 	follow := func(prefix string, pace time.Duration, apply func(watcher.Update)) {
 		w := &watcher.Watcher{Store: e.store, Prefix: prefix, Pace: pace, LongestBackoff: longestBackoff, Log: e.Log}
 		w.On(prefix, apply)
@@ -145,7 +154,7 @@
 func (e *Entry) buildServers() {
 	e.callers = &http.Server{
 		Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		Handler: &adapter.Callers{Router: e.router, Jobs: e.coordinator, Closing: e.draining.Load, Log: e.Log},
+		Handler: &adapter.Callers{Router: e.router, Jobs: e.coordinator, Kept: e.keeper, Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -194,6 +203,8 @@
 	}
 	work.Go(func() { e.enroller.Run(ctx) })
 	work.Go(func() { e.coordinator.Run(ctx) })
+	work.Go(func() { e.committer.Run(ctx) })
+	work.Go(func() { e.keeper.Run(ctx) })
 	work.Go(func() { e.followSettings(ctx) })
 	for _, s := range []*http.Server{e.callers, e.readiness} {
 		l, err := net.Listen("tcp", s.Addr)
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -34,6 +34,7 @@
 		open, _ := e.coordinator.Counts()
 		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
 	}
+	e.leaveKept(ctx)
 	for ctx.Err() == nil && e.runner.Running() > 0 {
 		time.Sleep(drainInterval)
 	}
--- /dev/null
+++ b/radishweir/internal/composer/kept.go
@@ -0,0 +1,224 @@
+package composer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"radishweir.org/lib/committer"
+	"radishweir.org/lib/keeper"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// commitShare is the part of the store's writes that goes to kept jobs; the
+	// rest is for registrations and for the platform's own writers.
+	commitShare = 0.45
+	// longestCommitInterval bounds the time to an acceptance where many entries
+	// share few writes.
+	longestCommitInterval = 100 * time.Millisecond
+	// registrationPoll is the time between two looks for this entry's own
+	// registration.
+	registrationPoll = 50 * time.Millisecond
+)
+
+// buildKeeper builds the parts that keep jobs.
+func (e *Entry) buildKeeper() {
+	e.committer = &committer.Committer{Store: e.store, Interval: e.commitInterval, Log: e.Log}
+	e.keeper = &keeper.Keeper{
+		Self: e.Name, Store: e.store, Commits: e.committer, Jobs: e.coordinator, Identity: e.enroller, Peers: (*peers)(e), Log: e.Log,
+	}
+	e.keeper.Init()
+	e.coordinator.Keeper = e.keeper
+	e.enroller.Lost = e.keeper.Lose
+	e.enroller.Departed = func() {
+		// Identities of earlier lives are known after the first reading.
+		go e.enroller.Inherit(e.ctx)
+		e.keeper.Review()
+	}
+}
+
+// commitInterval shares the store's writes among the entries.
+func (e *Entry) commitInterval() time.Duration {
+	members, _ := e.enroller.Members()
+	perEntry := commitShare * float64(e.StoreWrites) / float64(max(len(members), 1))
+	return min(time.Duration(float64(time.Second)/perEntry), longestCommitInterval)
+}
+
+// peers lets the keeper reach the entries.
+type peers Entry
+
+// Names implements keeper.Peers.
+func (p *peers) Names() map[string]string {
+	members, _ := p.enroller.Members()
+	out := make(map[string]string, len(members))
+	for _, m := range members {
+		out[m.GetName()] = m.GetIncarnation()
+	}
+	if !p.enroller.Registered() {
+		delete(out, p.Name)
+	}
+	return out
+}
+
+// Claim implements keeper.Peers.
+func (p *peers) Claim(peer, holder string) {
+	e, incarnation := (*Entry)(p), p.Names()[peer]
+	if peer == p.Name {
+		p.keeper.Asked(peer, incarnation, holder)
+		e.vacate(p.Name, holder, func() { p.keeper.Claimed(peer, incarnation, holder) })
+		return
+	}
+	if p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claims = append(f.Claims, &wire.Holder{Holder: holder}) }) {
+		p.keeper.Asked(peer, incarnation, holder)
+	}
+}
+
+// Notify implements keeper.Peers.
+func (p *peers) Notify(peer, job string) {
+	notice := &wire.KeptNotice{Job: job}
+	if p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Notices = append(f.Notices, notice) }) {
+		return
+	}
+	// Up sends what waits.
+	p.unsent.add(peer, notice)
+}
+
+// KeepJobs implements keeper.Peers.
+func (p *peers) KeepJobs() {
+	p.runner.KeepJobs()
+	p.keeping.Store(true)
+}
+
+// vacate ends the runs of a holder on the upstreams of this entry once these are
+// known.
+func (e *Entry) vacate(adopter, holder string, done func()) {
+	go func() {
+		for e.ctx.Err() == nil && !e.enroller.Registered() {
+			time.Sleep(registrationPoll)
+		}
+		e.runner.Claim(e.ctx, adopter, holder, done)
+	}()
+}
+
+// takeKept takes the parts of a frame that are about kept jobs.
+func (e *Entry) takeKept(peer string, f *wire.PeerFrame) {
+	for _, s := range f.GetSafe() {
+		e.runner.Safe(s)
+	}
+	if f.GetKeeping() && !e.keeping.Load() {
+		e.keeper.KeepJobs()
+		(*peers)(e).KeepJobs()
+	}
+	if f.GetKeeping() {
+		e.pending.put(peer, f.GetPending())
+	}
+	for _, c := range f.GetClaims() {
+		e.vacate(peer, c.GetHolder(), func() {
+			e.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claimed = append(f.Claimed, c) })
+		})
+	}
+	for _, c := range f.GetClaimed() {
+		e.keeper.Claimed(peer, (*peers)(e).Names()[peer], c.GetHolder())
+	}
+	for _, n := range f.GetNotices() {
+		e.keeper.Notice(n.GetJob())
+	}
+}
+
+// notices are those that could not be sent yet, by peer.
+type notices struct {
+	mu   sync.Mutex
+	list map[string][]*wire.KeptNotice
+}
+
+func (n *notices) add(peer string, notice *wire.KeptNotice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.list == nil {
+		n.list = make(map[string][]*wire.KeptNotice)
+	}
+	n.list[peer] = append(n.list[peer], notice)
+}
+
+func (n *notices) take(peer string) []*wire.KeptNotice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.list[peer]
+	delete(n.list, peer)
+	return out
+}
+
+const (
+	// pendingInterval is the age of this entry's own count of jobs that wait.
+	pendingInterval = 200 * time.Millisecond
+	// pendingMemory is how long the count of a silent peer still counts.
+	pendingMemory = 10 * time.Second
+)
+
+// pending holds the counts of kept jobs that have not begun, by entry and queue.
+type pending struct {
+	mu     sync.Mutex
+	counts map[string]count
+}
+
+type count struct {
+	queues map[string]int64
+	at     time.Time
+}
+
+func (p *pending) put(entry string, queues map[string]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.counts == nil {
+		p.counts = make(map[string]count)
+	}
+	p.counts[entry] = count{queues, time.Now()}
+}
+
+// own returns the count of this entry, taken anew when it is old.
+func (p *pending) own(entry string, fresh func() map[string]int64) map[string]int64 {
+	p.mu.Lock()
+	c, ok := p.counts[entry]
+	p.mu.Unlock()
+	if !ok || time.Since(c.at) > pendingInterval {
+		c.queues = fresh()
+		p.put(entry, c.queues)
+	}
+	return c.queues
+}
+
+// sum adds the counts of one queue.
+func (p *pending) sum(queue string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := int64(0)
+	for _, c := range p.counts {
+		if time.Since(c.at) < pendingMemory {
+			n += c.queues[queue]
+		}
+	}
+	return n
+}
+
+// Pending implements platform.Keeper: the kept jobs of a queue that have not
+// begun, on all entries.
+func (e *Entry) Pending(queue string) int64 {
+	if !e.keeping.Load() {
+		return 0
+	}
+	e.pending.own(e.Name, e.coordinator.Pending)
+	return e.pending.sum(queue)
+}
+
+// leaveKept lets the kept jobs end, or leaves them to other entries.
+func (e *Entry) leaveKept(ctx context.Context) {
+	for ctx.Err() == nil && e.keeper.Open() > 0 {
+		time.Sleep(drainInterval)
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := e.enroller.ReleaseHolder(call); err != nil {
+		e.Log.Warn().Err(err).Msg("holder_not_removed")
+	}
+}
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -12,6 +12,10 @@
 func (e *Entry) divide() {
 	e.divides.Lock()
 	defer e.divides.Unlock()
+	if len(e.enroller.Holders()) > 0 {
+		// Before the first look: ends of kept runs must not be taken note of.
+		e.runner.KeepJobs()
+	}
 	registrations, token := e.enroller.Members()
 	var members []divider.Member
 	addresses := make(map[string]string)
@@ -59,6 +63,10 @@
 func (e *Entry) Up(peer string, session uint64) {
 	e.down.Delete(peer)
 	e.coordinator.Up(peer, session)
+	for _, n := range e.unsent.take(peer) {
+		(*peers)(e).Notify(peer, n.GetJob())
+	}
+	e.runner.Retell(peer)
 }
 
 // Down implements messenger.Handler.
@@ -66,6 +74,7 @@
 	since := time.Now()
 	e.down.Store(peer, since)
 	e.coordinator.Down(peer)
+	e.keeper.Unasked(peer)
 	time.AfterFunc(abandonGrace, func() {
 		if at, ok := e.down.Load(peer); ok && at == since {
 			e.runner.Abandon(e.ctx, peer)
@@ -88,10 +97,14 @@
 	for _, end := range f.GetEnds() {
 		e.coordinator.Ended(peer, end)
 	}
+	e.takeKept(peer, f)
 }
 
 // Complete implements messenger.Handler.
 func (e *Entry) Complete(_ string, f *wire.PeerFrame, upstreams map[string]bool) {
+	if f.Keeping = e.keeping.Load(); f.Keeping {
+		f.Pending = e.pending.own(e.Name, e.coordinator.Pending)
+	}
 	if f.GetWhole() {
 		f.Upstreams = e.runner.States()
 		return
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -20,6 +20,7 @@
 	EntryAddress     string `toml:"entry_address"`
 	OperatorAddress  string `toml:"operator_address"`
 	PlatformAddress  string `toml:"platform_address"`
+	StoreWrites      int    `toml:"store_writes"`
 	LogLevel         string `toml:"log_level"`
 	Cores            string `toml:"cores"`
 	MemoryMB         int    `toml:"memory_mb"`
@@ -37,6 +38,7 @@
 		{Key: "entry_address", Value: &s.EntryAddress, Check: loader.Address},
 		{Key: "operator_address", Value: &s.OperatorAddress, Check: loader.Address},
 		{Key: "platform_address", Value: &s.PlatformAddress, Check: loader.Address},
+		{Key: "store_writes", Value: &s.StoreWrites, Default: 400, Check: loader.Between(1, 1<<20)},
 		{Key: "log_level", Value: &s.LogLevel, Default: "info", Check: loader.OneOf("debug", "info", "warn", "error")},
 		{Key: "cores", Value: &s.Cores, Default: "1", Check: loader.Number(0.01, 1024)},
 		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.Between(32, 1<<20)},
