--- a/radishweirctl/internal/commander/commander.go
+++ b/radishweirctl/internal/commander/commander.go
@@ -68,6 +68,7 @@
 	service      string
 	entry        string
 	token        string
+	at           string
 	job          string
 	names        []string
 	directory    string
@@ -122,7 +123,9 @@
 }
 
 func explainOptions(c *Commander, s *flaggy.Subcommand) {
-	s.AddPositionalValue(&c.job, "id", 1, true, "identifier of the job, the last part of the request's path")
+	s.AddPositionalValue(&c.job, "id", 1, true, "identifier of the job, the last part of the request's path; unknown if it isn't known")
+	s.String(&c.at, "t", "at", "time of the request in the logs, for a job without a line")
+	s.String(&c.entry, "e", "entry", "name of the entry that it was sent to")
 }
 
 func keysOptions(c *Commander, s *flaggy.Subcommand) {
--- a/radishweirctl/internal/commander/leased.go
+++ b/radishweirctl/internal/commander/leased.go
@@ -152,7 +152,13 @@
 	if err != nil {
 		return err
 	}
-	e := explainer.Explain(lines, c.job)
+	at := time.Time{}
+	if c.at != "" {
+		if at, err = time.Parse(time.RFC3339Nano, c.at); err != nil {
+			return &usageError{errors.Errorf("--at %s: a time as in the logs is needed, such as 2026-08-25T03:21:30.000Z", c.at)}
+		}
+	}
+	e := explainer.Explain(lines, c.job, at, c.entry)
 	if c.asJSON {
 		return c.print(e, nil)
 	}
--- a/radishweirctl/internal/explainer/explainer.go
+++ b/radishweirctl/internal/explainer/explainer.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	lines, err := explainer.Read(os.Stdin)
-//	fmt.Print(explainer.Explain(lines, "5c0e7a21d94b36f8"))
+//	fmt.Print(explainer.Explain(lines, "5c0e7a21d94b36f8", time.Time{}, ""))
 //
 // The logs of all entries are read together, in any order.
 package explainer
@@ -22,6 +22,9 @@
 	// dead entries lapse within two seconds.
 	lookBack  = 2500 * time.Millisecond
 	lookAhead = 500 * time.Millisecond
+	// answerAhead is how long after a request its entry may write a line about it;
+	// callers wait no longer.
+	answerAhead = 3 * time.Second
 )
 
 // surroundings are the events that may explain what became of a job.
@@ -52,6 +55,8 @@
 	Around []Sum `json:"around"`
 	// Upstreams are events of the upstreams at which runs of the job went wrong.
 	Upstreams []Line `json:"upstreams"`
+	// Others are lines about other jobs of the entry at that time.
+	Others []Line `json:"others"`
 }
 
 // Sum stands for all events of one kind.
@@ -66,8 +71,10 @@
 	Last     time.Time `json:"last"`
 }
 
-// Explain follows a job.
-func Explain(lines []Line, id string) Explanation {
+// Explain follows a job. If there is no line about it, what happened around the
+// time at is told, and which jobs ended badly at the entry then; at may be zero
+// and entry empty.
+func Explain(lines []Line, id string, at time.Time, entry string) Explanation {
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	out := Explanation{Job: id}
@@ -79,6 +86,17 @@
 	if len(out.Lines) == 0 {
 		out.Cause = "no line: it never arrived, was answered in time, was refused beyond the lines that are written, or its entry ended"
 		out.Next = "the time at which it was sent: entries that started after it, lost their peers or left; job_lines_left_out"
+		if !at.IsZero() {
+			near := func(l Line) bool { return !l.Time.Before(at.Add(-lookBack)) && !l.Time.After(at.Add(answerAhead)) }
+			out.Around = sums(lines, near)
+			for _, l := range lines {
+				if near(l) && l.Event == "job_ended" && l.Entry == entry && !l.Time.Before(at) {
+					out.Others = append(out.Others, l)
+				}
+			}
+			return out
+		}
+		out.Next += "; say when with --at"
 		out.Around = sums(lines, func(l Line) bool {
 			return l.Event == "started" || l.Event == "member_left" || l.Event == "draining" || l.Event == "job_lines_left_out"
 		})
@@ -169,6 +187,7 @@
 	fmt.Fprintf(&b, "job %s\ncause: %s\nlook next at: %s\n", e.Job, e.Cause, e.Next)
 	section(&b, "its lines", e.Lines)
 	section(&b, "where its runs went wrong", e.Upstreams)
+	section(&b, "jobs that ended badly there at that time", e.Others)
 	if len(e.Around) > 0 {
 		b.WriteString("\nat that time\n")
 	}
--- a/radishweirctl/internal/explainer/explainer_test.go
+++ b/radishweirctl/internal/explainer/explainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"radishweir.org/radishweirctl/internal/explainer"
 )
@@ -21,7 +22,7 @@
 	if err != nil || len(lines) != 5 {
 		t.Fatal(len(lines), err)
 	}
-	late := explainer.Explain(lines, "aa")
+	late := explainer.Explain(lines, "aa", time.Time{}, "")
 	if !strings.Contains(late.Cause, "answered late") || len(late.Lines) != 1 {
 		t.Errorf("late: %+v", late)
 	}
@@ -31,10 +32,14 @@
 	if text := late.String(); !strings.Contains(text, "entry-3") || strings.Contains(text, "entry-4") {
 		t.Errorf("what happened around it:\n%s", text)
 	}
-	if e := explainer.Explain(lines, "bb"); !strings.Contains(e.Cause, "overload") {
+	if e := explainer.Explain(lines, "bb", time.Time{}, ""); !strings.Contains(e.Cause, "overload") {
 		t.Errorf("refused: %+v", e)
 	}
-	if e := explainer.Explain(lines, "cc"); !strings.Contains(e.Cause, "no line") {
+	if e := explainer.Explain(lines, "cc", time.Time{}, ""); !strings.Contains(e.Cause, "no line") {
 		t.Errorf("unknown: %+v", e)
 	}
+	at := time.Date(2026, 8, 25, 3, 21, 31, 0, time.UTC)
+	if e := explainer.Explain(lines, "-", at, "entry-2"); len(e.Others) != 1 || !strings.Contains(e.String(), "job=bb") {
+		t.Errorf("by time and entry: %+v", e)
+	}
 }
--- a/standin/hoster/store.go
+++ b/standin/hoster/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -165,9 +166,14 @@
 const pageLimit = 20
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	// A client that is frozen while it reads must not hold up the others.
+	send(w, http.StatusOK, s.page(r.URL.Query()))
+}
+
+// page returns the items of one page.
+func (s *Store) page(q url.Values) schema.Range {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q := r.URL.Query()
 	at, more := s.revision, false
 	out := schema.Range{At: &at, HasMore: &more}
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
@@ -180,7 +186,7 @@
 		}
 		out.Items = append(out.Items, s.show(key))
 	}
-	send(w, http.StatusOK, out)
+	return out
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
