Run jobs of several steps, with labels, data and a bound together

Cause: jobs of more than one step, or with requires, affinity or anti_affinity, were answered 503.

Change: a job has steps; a step begins when those that it names are done, each task goes to an upstream with the label, near its data where that is sooner, and not more together than allowed. The chain of steps, not one of them, bounds a job's time. Kept jobs keep their steps.

Entries now hold such ends back until a listing shows that there are no kept jobs.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -65,9 +65,11 @@
 	Domain string
 	// PeerSilence is how long a peer may be silent before it is down.
 	PeerSilence time.Duration
-	Local       Local
-	Remote      Remote
-	Observer    Observer
+	// FarFactor is how many times as long tasks take away from their data.
+	FarFactor float64
+	Local     Local
+	Remote    Remote
+	Observer  Observer
 	// Keeper stores what becomes of kept jobs; nil if there are none.
 	Keeper Keeper
 	// Log receives events.
@@ -273,7 +275,7 @@
 	usable, peers := c.reach(j.Service)
 	line.Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
 		Int64("after_ms", now.Sub(j.Arrived).Milliseconds()).Int64("late_ms", late.Milliseconds()).
-		Int("tasks", j.Tasks).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.begun).
+		Int("tasks", len(j.tasks)).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.begun).
 		Strs("missed_at", j.missed()).Int("waiting", len(c.waiting)).
 		Int("upstreams_usable", usable).Int("peers_up", peers).Msg("job_ended")
 }
--- a/lib/coordinator/coordinator_test.go
+++ b/lib/coordinator/coordinator_test.go
@@ -73,7 +73,7 @@
 	now := time.Now()
 	due := time.Duration(1.6*float64(expected)) + 60*time.Millisecond
 	j := coordinator.Job{
-		ID: id, Kind: kind, Service: "claims", Tasks: tasks, Need: need, Expected: expected,
+		ID: id, Kind: kind, Service: "claims", Steps: []coordinator.Step{{Tasks: tasks, Need: need, Expected: expected}},
 		Arrived: now, Due: now.Add(due), Until: now.Add(wait), MaxFailures: 3,
 	}
 	go func() {
@@ -369,7 +369,7 @@
 		now := time.Now()
 		go func() {
 			done <- c.Submit(ctx, coordinator.Job{
-				ID: "a", Kind: "check", Service: "claims", Tasks: 1, Need: need, Expected: time.Second,
+				ID: "a", Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 1, Need: need, Expected: time.Second}},
 				Arrived: now, Due: now.Add(2 * time.Second), Until: now.Add(3 * time.Second), MaxFailures: 3,
 			})
 		}()
@@ -429,7 +429,7 @@
 			call, leave := context.WithCancel(ctx)
 			now := time.Now()
 			go c.Submit(call, coordinator.Job{
-				ID: "a", Kind: "check", Service: "claims", Tasks: 1, Need: need, Expected: time.Second,
+				ID: "a", Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 1, Need: need, Expected: time.Second}},
 				Arrived: now, Due: now.Add(2 * time.Second), Until: now.Add(3 * time.Second), MaxFailures: 3,
 			})
 			time.Sleep(10 * time.Millisecond)
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"radishweir.org/lib/packer"
@@ -72,10 +73,11 @@
 	l.open = l.open[n:]
 }
 
-// candidates lists where a task of the job may start now so that it ends by the
-// given time. It returns nil when fewer than n tasks fit.
-func (c *Coordinator) candidates(j *job, avoid map[string]bool, n int, left time.Duration) []packer.Candidate {
-	fits := 0
+// candidates lists where up to n tasks of a job's step may start now so that the
+// job ends within the given time.
+func (c *Coordinator) candidates(j *job, step int, avoid map[string]bool, n int, left time.Duration) []packer.Candidate {
+	st := &j.Steps[step]
+	left -= j.rest[step] - st.expected()
 	list := c.scratch[:0]
 	v := c.surveys[j.Service]
 	if v == nil {
@@ -85,20 +87,27 @@
 		if avoid[s.Name] {
 			continue
 		}
-		if time.Duration(float64(j.expected())*s.slowness) > left {
+		slowness := s.slowness
+		if st.Data != "" && !s.HasLabel(st.Data) {
+			slowness *= max(c.FarFactor, 1)
+		}
+		if time.Duration(float64(st.expected())*slowness) > left || (st.Label != "" && !s.HasLabel(st.Label)) {
 			continue
 		}
-		k := s.room().Copies(j.Need, n)
-		if k == 0 {
+		most := n
+		if st.MostTogether > 0 {
+			most = min(n, st.MostTogether-j.together(step, s.Name))
+		}
+		if s.room().Copies(st.Need, most) <= 0 {
 			continue
 		}
-		fits += k
-		list = append(list, packer.Candidate{Name: s.Name, Free: s.room(), Slowness: s.slowness, Near: s.Domain == c.Domain})
+		a := packer.Candidate{Name: s.Name, Free: s.room(), Slowness: slowness, Near: s.Domain == c.Domain}
+		if st.MostTogether > 0 {
+			a.Most = most
+		}
+		list = append(list, a)
 	}
 	c.scratch = list
-	if fits < n {
-		return nil
-	}
 	return list
 }
 
@@ -126,14 +135,29 @@
 	return upstreams, peers
 }
 
-// possible reports whether any upstream could ever hold a task of the job.
+// together counts the tasks of a step on an upstream.
+func (j *job) together(step int, upstream string) int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.step == step && t.placed && t.upstream == upstream {
+			n++
+		}
+	}
+	return n
+}
+
+// possible reports whether there are upstreams that could hold the tasks of each
+// step of the job.
 func (c *Coordinator) possible(j *job) bool {
-	for _, s := range c.services[j.Service] {
-		if s.Capacity.Holds(j.Need) {
-			return true
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		if !slices.ContainsFunc(c.services[j.Service], func(s *site) bool {
+			return s.Capacity.Holds(st.Need) && (st.Label == "" || s.HasLabel(st.Label))
+		}) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Upstreams replaces the list of upstreams. Their owners make themselves known
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -8,7 +8,34 @@
 	"radishweir.org/lib/packer"
 )
 
-// Job is a set of equal tasks with one answer.
+// Step is a set of equal tasks of a job.
+type Step struct {
+	// Tasks is the number of tasks.
+	Tasks int
+	// Need is what each task takes.
+	Need packer.Amount
+	// Expected is the declared run time of a task; it may be far off.
+	Expected time.Duration
+	// After lists earlier steps whose tasks must all be done first.
+	After []int
+	// Label is one that the upstream must have; empty for none.
+	Label string
+	// Data is the label of upstreams near the step's data; on others its tasks take
+	// longer. Empty for none.
+	Data string
+	// MostTogether bounds the tasks of the step on one upstream; 0 for no bound.
+	MostTogether int
+}
+
+// expected is the run time that is expected of a task on an average upstream.
+func (s *Step) expected() time.Duration { return max(s.Expected, time.Millisecond) }
+
+// size is the work of the step in core-seconds.
+func (s *Step) size() float64 {
+	return float64(s.Tasks) * s.expected().Seconds() * float64(s.Need.CPU) / 1000
+}
+
+// Job is one or more steps with one answer.
 type Job struct {
 	// ID is chosen by the caller.
 	ID string
@@ -18,12 +45,8 @@
 	Service string
 	// Spec is handed to the upstreams unchanged.
 	Spec string
-	// Tasks is the number of tasks.
-	Tasks int
-	// Need is what each task takes.
-	Need packer.Amount
-	// Expected is the declared run time of a task; it may be far off.
-	Expected time.Duration
+	// Steps are the parts of the job, each after those that it names.
+	Steps []Step
 	// Arrived is the time of the submission.
 	Arrived time.Time
 	// Due is the latest time for an answer in time.
@@ -37,7 +60,8 @@
 	// in the store and runs whether or not a caller waits. Empty for jobs that
 	// end with their callers.
 	Holder string
-	// Done holds the tasks of a kept job that were done before.
+	// Done holds the tasks of a kept job that were done before, counted over all
+	// steps.
 	Done []uint32
 	// Failures holds the failed runs of its tasks before.
 	Failures map[uint32]uint32
@@ -45,6 +69,37 @@
 	FirstRun uint64
 }
 
+// Tasks is the number of tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Tasks
+	}
+	return n
+}
+
+// Chain is the longest time that the steps take one after the other.
+func (j *Job) Chain() time.Duration {
+	out := time.Duration(0)
+	for _, d := range j.chains() {
+		out = max(out, d)
+	}
+	return out
+}
+
+// chains returns for each step the longest time from its beginning to the end of
+// the job.
+func (j *Job) chains() []time.Duration {
+	out := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		out[i] += j.Steps[i].expected()
+		for _, before := range j.Steps[i].After {
+			out[before] = max(out[before], out[i])
+		}
+	}
+	return out
+}
+
 // kept reports whether the job outlives its callers.
 func (j *Job) kept() bool { return j.Holder != "" }
 
@@ -83,8 +138,11 @@
 
 // task is one task of an open job.
 type task struct {
-	job   *job
-	index int
+	job *job
+	// step is that of the task, index counts within it, number over all steps.
+	step   int
+	index  int
+	number int
 	// run is the number of the last start, 0 before the first.
 	run      uint64
 	upstream string
@@ -97,7 +155,12 @@
 }
 
 // name is the task's identifier at upstreams: job, occurrence, step and index.
-func (t *task) name() string { return t.job.ID + ".0.0." + strconv.Itoa(t.index) }
+func (t *task) name() string {
+	return t.job.ID + ".0." + strconv.Itoa(t.step) + "." + strconv.Itoa(t.index)
+}
+
+// spec is the step of the task.
+func (t *task) spec() *Step { return &t.job.Steps[t.step] }
 
 // job is a Job until its answer.
 type job struct {
@@ -105,6 +168,12 @@
 	tasks  []*task
 	placed int
 	done   int
+	// left counts the tasks of each step that are not done, rest is the longest time
+	// from the beginning of each step to the end of the job.
+	left []int
+	rest []time.Duration
+	// first is the number of the first task of each step.
+	first []int
 	// begun is true once a task may have been started; such a job is never
 	// refused.
 	begun bool
@@ -119,32 +188,77 @@
 
 // newJob opens a job whose runs are numbered after the given one.
 func newJob(j Job, run uint64) *job {
-	out := &job{Job: j, answer: make(chan Answer, 1), tasks: make([]*task, j.Tasks)}
-	for i := range out.tasks {
-		out.tasks[i] = &task{job: out, index: i, run: run, failures: int(j.Failures[uint32(i)])}
+	out := &job{Job: j, answer: make(chan Answer, 1), rest: j.chains(), left: make([]int, len(j.Steps)), first: make([]int, len(j.Steps))}
+	for s := range j.Steps {
+		out.left[s], out.first[s] = j.Steps[s].Tasks, len(out.tasks)
+		for i := range j.Steps[s].Tasks {
+			n := len(out.tasks)
+			out.tasks = append(out.tasks, &task{job: out, step: s, index: i, number: n, run: run, failures: int(j.Failures[uint32(n)])})
+		}
 	}
-	for _, i := range j.Done {
-		if int(i) < len(out.tasks) && !out.tasks[i].done {
-			out.tasks[i].done = true
-			out.done++
+	for _, n := range j.Done {
+		if int(n) < len(out.tasks) && !out.tasks[n].done {
+			out.finish(out.tasks[n])
 		}
 	}
 	return out
 }
 
-// open lists the tasks that wait for an upstream.
+// finish notes that a task is done.
+func (j *job) finish(t *task) {
+	t.done = true
+	j.done++
+	j.left[t.step]--
+}
+
+// due reports whether all steps that come before a step are done.
+func (j *job) due(step int) bool {
+	for _, s := range j.Steps[step].After {
+		if j.left[s] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waits reports whether a task waits for an upstream.
+func (t *task) waits() bool { return !t.placed && !t.done && t.job.due(t.step) }
+
+// open lists the tasks that wait for an upstream, by step.
 func (j *job) open() []*task {
 	out := make([]*task, 0, len(j.tasks))
 	for _, t := range j.tasks {
-		if !t.placed && !t.done {
+		if t.waits() {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-// expected is the run time that is expected of a task on an average upstream.
-func (j *job) expected() time.Duration { return max(j.Expected, time.Millisecond) }
+// isOpen reports whether any task waits for an upstream.
+func (j *job) isOpen() bool {
+	if len(j.Steps) == 1 {
+		return j.placed+j.done < len(j.tasks)
+	}
+	for _, t := range j.tasks {
+		if t.waits() {
+			return true
+		}
+	}
+	return false
+}
+
+// chain is the longest time that is expected until the end of the job on average
+// upstreams.
+func (j *job) chain() time.Duration {
+	out := time.Millisecond
+	for s, n := range j.left {
+		if n > 0 {
+			out = max(out, j.rest[s])
+		}
+	}
+	return out
+}
 
 // latest is the time by which the job must end to be in time for a caller that
 // still waits.
--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -33,13 +33,14 @@
 type Keeper interface {
 	// Holder is the identity whose jobs may be run now; empty if none may.
 	Holder() string
-	// TaskEnded tells that a run of a task is done or failed. Safe is called once
-	// that is stored.
+	// TaskEnded tells that a run of a task is done or failed; tasks are counted over
+	// all steps. Safe is called once that is stored.
 	TaskEnded(job string, index uint32, done bool, e End)
 	// JobEnded tells that a job is Complete or Failed.
 	JobEnded(job string, s State)
-	// Stray tells of the end of a run that is not expected here.
-	Stray(job string, index uint32, done bool, holder string, e End)
+	// Stray tells of the end of a run that is not expected here, by the task's step
+	// and its index in that step.
+	Stray(job string, step, index int, done bool, holder string, e End)
 }
 
 // Keep takes a stored job. Its outcome is told to the Keeper.
@@ -190,15 +191,15 @@
 // lock.
 func (c *Coordinator) taskEnded(t *task, e *wire.RunEnd) {
 	if t.job.kept() && c.Keeper != nil {
-		c.Keeper.TaskEnded(t.job.ID, uint32(t.index), e.GetCause() == wire.RunEnd_done, endOf(e))
+		c.Keeper.TaskEnded(t.job.ID, uint32(t.number), e.GetCause() == wire.RunEnd_done, endOf(e))
 	}
 }
 
 // stray tells the keeper of an end that no placed task waits for; the caller
 // holds the lock.
 func (c *Coordinator) stray(e *wire.RunEnd) {
-	if id, i, ok := parseTask(e.GetTask()); ok && (c.jobs[id] == nil || c.jobs[id].kept()) {
-		c.Keeper.Stray(id, uint32(i), e.GetCause() == wire.RunEnd_done, e.GetHolder(), endOf(e))
+	if id, step, i, ok := parseTask(e.GetTask()); ok && (c.jobs[id] == nil || c.jobs[id].kept()) {
+		c.Keeper.Stray(id, step, i, e.GetCause() == wire.RunEnd_done, e.GetHolder(), endOf(e))
 	}
 }
 
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -94,26 +94,32 @@
 		if c.suspended(j) {
 			continue
 		}
-		if j.begun && j.placed+j.done < len(j.tasks) {
+		if j.begun && j.isOpen() {
 			list = append(list, j)
 		}
 	}
 	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID)) })
 	var out []message
 	for _, j := range list {
+		full := -1
 		for _, t := range j.open() {
 			left := j.Until.Sub(now)
 			if j.kept() {
 				left = keptPatience
 			}
-			found := c.candidates(j, t.avoid, 1, left)
-			if found == nil {
-				found = c.candidates(j, nil, 1, left)
+			if t.step == full {
+				continue
 			}
-			if found == nil {
-				break
+			found := c.candidates(j, t.step, t.avoid, 1, left)
+			if len(found) == 0 {
+				found = c.candidates(j, t.step, nil, 1, left)
 			}
-			out = append(out, c.place(j, []*task{t}, packer.Pack(1, j.Need, found), now)...)
+			if len(found) == 0 {
+				// No other task of this step fits either.
+				full = t.step
+				continue
+			}
+			out = append(out, c.place([]*task{t}, packer.Pack(1, t.spec().Need, found), now)...)
 		}
 	}
 	return out
@@ -142,7 +148,7 @@
 			})...)
 			continue
 		}
-		open := j.open()
+		open := firstStep(j.open())
 		chosen := c.choose(j, open, left, now)
 		if chosen == nil {
 			ahead += size(&j.Job)
@@ -152,7 +158,7 @@
 			}
 			continue
 		}
-		out = append(out, c.place(j, open, chosen, now)...)
+		out = append(out, c.place(open, chosen, now)...)
 		j.begun = true
 		if i := slices.Index(c.waiting, j); i >= 0 {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
@@ -161,19 +167,33 @@
 	return out
 }
 
-// choose returns upstreams for the tasks of a job that can begin now: either all
+// firstStep returns the tasks of the same step as the first one. What other steps
+// can begin with follows at once, as the job has begun then.
+func firstStep(open []*task) []*task {
+	n := 0
+	for n < len(open) && open[n].step == open[0].step {
+		n++
+	}
+	return open[:n]
+}
+
+// choose returns upstreams for the tasks of a step that can begin now: either all
 // tasks fit, or the others follow soon enough as room comes free. A job that has
 // begun goes before all that wait, so wide jobs are not passed by narrow ones.
 func (c *Coordinator) choose(j *job, open []*task, left time.Duration, now time.Time) []string {
-	found := c.candidates(j, nil, 1, left)
-	if found == nil {
+	if len(open) == 0 {
+		return nil
+	}
+	st := open[0].spec()
+	found := c.candidates(j, open[0].step, nil, len(open), left)
+	if len(found) == 0 {
 		return nil
 	}
-	chosen := packer.Pack(len(open), j.Need, found)
+	chosen := packer.Pack(len(open), st.Need, found)
 	if len(chosen) == len(open) {
 		return chosen
 	}
-	missing := c.begunCores() + float64(len(open)-len(chosen))*float64(j.Need.CPU)/1000
+	missing := c.begunCores() + float64(len(open)-len(chosen))*float64(st.Need.CPU)/1000
 	collect := missing / max(c.rooms.rate(now), minimumRate)
 	if collect > (left - c.fastest(j)).Seconds() {
 		return nil
@@ -186,22 +206,27 @@
 	sum := 0.0
 	for _, j := range c.jobs {
 		if j.begun {
-			sum += float64(len(j.tasks)-j.placed-j.done) * float64(j.Need.CPU) / 1000
+			for _, t := range j.tasks {
+				if t.waits() {
+					sum += float64(t.spec().Need.CPU) / 1000
+				}
+			}
 		}
 	}
 	return sum
 }
 
 // place assigns tasks to the chosen upstreams, as far as these reach.
-func (c *Coordinator) place(j *job, tasks []*task, chosen []string, now time.Time) []message {
+func (c *Coordinator) place(tasks []*task, chosen []string, now time.Time) []message {
 	var out []message
 	for i, name := range chosen {
 		s, t := c.sites[name], tasks[i]
+		j, st := t.job, t.spec()
 		t.run++
 		t.upstream, t.owner, t.placed = name, s.owner, true
 		j.placed++
-		c.started.add(now, size(&j.Job)/float64(j.Tasks))
-		c.rooms.add(now, float64(j.Need.CPU)/1000)
+		c.started.add(now, st.size()/float64(st.Tasks))
+		c.rooms.add(now, float64(st.Need.CPU)/1000)
 		if c.Observer != nil {
 			c.Observer.Placed(s.owner == c.Self, s.Domain == c.Domain)
 		}
@@ -215,10 +240,10 @@
 // message builds the request for a placed task; the caller holds the lock. It
 // reports false while the owner cannot be reached.
 func (c *Coordinator) message(t *task, attach bool) (message, bool) {
-	j, s := t.job, c.sites[t.upstream]
+	j, st, s := t.job, t.spec(), c.sites[t.upstream]
 	q := &wire.RunRequest{
-		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.MessageOf(j.Need),
-		ExpectedMs: float64(j.expected().Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
+		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.MessageOf(st.Need),
+		ExpectedMs: float64(c.expectedAt(st, s).Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
 	}
 	if !attach {
 		q.Spec = j.Spec
@@ -230,16 +255,25 @@
 		}
 		l.number++
 		if !attach && s != nil {
-			s.sent = s.sent.Plus(j.Need)
-			l.open = append(l.open, request{l.number, s, j.Need})
+			s.sent = s.sent.Plus(st.Need)
+			l.open = append(l.open, request{l.number, s, st.Need})
 		}
 	} else if !attach && s != nil {
 		// The owner's own state follows at once; until then the room is taken.
-		s.free = s.free.Minus(j.Need)
+		s.free = s.free.Minus(st.Need)
 	}
 	return message{owner: t.owner, start: q}, true
 }
 
+// expectedAt is the run time that is expected of a task on an upstream of average
+// speed at that place; what its distance to the data adds is not slowness.
+func (c *Coordinator) expectedAt(st *Step, s *site) time.Duration {
+	if st.Data != "" && s != nil && !s.HasLabel(st.Data) {
+		return time.Duration(float64(st.expected()) * max(c.FarFactor, 1))
+	}
+	return st.expected()
+}
+
 // Ended takes the end of a run from an owner. Only the present owner can tell
 // that a run is over without a listed end.
 func (c *Coordinator) Ended(owner string, e *wire.RunEnd) {
@@ -268,9 +302,8 @@
 	j.placed--
 	switch e.GetCause() {
 	case wire.RunEnd_done:
-		t.done = true
 		j.ran = true
-		j.done++
+		j.finish(t)
 		c.taskEnded(t, e)
 		if j.done == len(j.tasks) {
 			return c.end(j, Answer{State: Complete})
@@ -315,21 +348,25 @@
 	t.avoid[upstream] = true
 }
 
-// parseTask splits a task's identifier at upstreams into its job and index.
-func parseTask(name string) (job string, index int, ok bool) {
-	id, rest, _ := strings.Cut(name, ".")
-	i, err := strconv.Atoi(rest[strings.LastIndex(rest, ".")+1:])
-	return id, i, err == nil && i >= 0
+// parseTask splits a task's identifier at upstreams into its job, step and index.
+func parseTask(name string) (job string, step, index int, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return parts[0], 0, 0, false
+	}
+	step, stepErr := strconv.Atoi(parts[2])
+	index, indexErr := strconv.Atoi(parts[3])
+	return parts[0], step, index, stepErr == nil && indexErr == nil && step >= 0 && index >= 0
 }
 
 // find returns the placed task of a run, nil if there is none.
 func (c *Coordinator) find(e *wire.RunEnd) *task {
-	id, i, ok := parseTask(e.GetTask())
+	id, step, i, ok := parseTask(e.GetTask())
 	j := c.jobs[id]
-	if !ok || j == nil || i >= len(j.tasks) {
+	if !ok || j == nil || step >= len(j.Steps) || i >= j.Steps[step].Tasks {
 		return nil
 	}
-	t := j.tasks[i]
+	t := j.tasks[j.first[step]+i]
 	if !t.placed || t.run != e.GetRun() || t.upstream != e.GetUpstream() {
 		return nil
 	}
--- a/lib/coordinator/ranker.go
+++ b/lib/coordinator/ranker.go
@@ -64,7 +64,11 @@
 
 // size is the work of a job in core-seconds.
 func size(j *Job) float64 {
-	return float64(j.Tasks) * max(j.Expected, time.Millisecond).Seconds() * float64(j.Need.CPU) / 1000
+	sum := 0.0
+	for i := range j.Steps {
+		sum += j.Steps[i].size()
+	}
+	return sum
 }
 
 // flowWindow is the time over which started work is counted.
--- /dev/null
+++ b/lib/coordinator/steps_test.go
@@ -0,0 +1,110 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/imitator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
+)
+
+// submitSteps sends a job of several steps that waits for ten seconds.
+func (s *site) submitSteps(ctx context.Context, id string, steps ...coordinator.Step) {
+	now := time.Now()
+	j := coordinator.Job{
+		ID: id, Kind: "check", Service: "claims", Steps: steps, Arrived: now, Due: now.Add(5 * time.Second),
+		Until: now.Add(10 * time.Second), MaxFailures: 3,
+	}
+	go func() {
+		a := s.Submit(ctx, j)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.answers = append(s.answers, answer{"check", id, a.State, time.Since(now), 5 * time.Second})
+	}()
+}
+
+// step is n tasks of 100 ms.
+func step(n int, after ...int) coordinator.Step {
+	return coordinator.Step{Tasks: n, Need: need, Expected: 100 * time.Millisecond, After: after}
+}
+
+// A step begins only when all tasks of the steps before it are done, and then at
+// once; steps that do not depend on each other run together.
+func TestStepsInOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 8)
+		s.fleet.Length = func(task string) time.Duration {
+			if task == "a.0.0.1" {
+				return 300 * time.Millisecond
+			}
+			return 100 * time.Millisecond
+		}
+		s.submitSteps(ctx, "a", step(3), step(2), step(4, 0, 1), step(1, 2))
+		time.Sleep(250 * time.Millisecond)
+		if s.fleet.Starts("a.0.1.1") != 1 || s.fleet.Starts("a.0.2.0") != 0 {
+			t.Errorf("at 250 ms: %d starts of a step without others before it, %d of one whose first is at work",
+				s.fleet.Starts("a.0.1.1"), s.fleet.Starts("a.0.2.0"))
+		}
+		time.Sleep(120 * time.Millisecond)
+		if s.fleet.Starts("a.0.2.0") != 1 || s.fleet.Starts("a.0.3.0") != 0 {
+			t.Errorf("at 370 ms: %d starts of the third step, %d of the fourth", s.fleet.Starts("a.0.2.0"), s.fleet.Starts("a.0.3.0"))
+		}
+		time.Sleep(time.Second)
+		if a := s.got(t, "a"); a.state != coordinator.Complete || a.after > 600*time.Millisecond {
+			t.Errorf("the job is %v after %v, want complete within 600 ms", a.state, a.after)
+		}
+	})
+}
+
+// A label that a step requires is kept to, data is preferred, and no more tasks of
+// a step than allowed come together.
+func TestPlacesOfSteps(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		s := newSite(ctx, 0)
+		s.FarFactor = 2
+		for i := range 6 {
+			s.fleet.Add(runner.Upstream{
+				Name: fmt.Sprintf("v%d", i), Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 32000, Memory: 65536},
+				Labels: runner.LabelsOf([]string{fmt.Sprintf("rack-%d", i%2), fmt.Sprintf("kind-%d", i/3)}),
+			}, 1)
+		}
+		s.Upstreams(s.fleet.List())
+		s.runner.Own(ctx, 2, s.fleet.List())
+		time.Sleep(50 * time.Millisecond)
+		st := step(4)
+		st.Label, st.MostTogether = "kind-1", 2
+		s.submitSteps(ctx, "a", st)
+		time.Sleep(50 * time.Millisecond)
+		for _, u := range s.fleet.List() {
+			s.fleet.Do(u.Name, func(u *imitator.Upstream) {
+				if u.Started > 2 || (u.Started > 0 && !u.HasLabel("kind-1")) {
+					t.Errorf("%s with %s got %d tasks", u.Name, u.Labels, u.Started)
+				}
+				u.Started = 0
+			})
+		}
+		time.Sleep(time.Second)
+		near := step(4)
+		near.Data = "rack-1"
+		s.submitSteps(ctx, "b", near)
+		time.Sleep(50 * time.Millisecond)
+		for _, u := range s.fleet.List() {
+			s.fleet.Do(u.Name, func(u *imitator.Upstream) {
+				if u.Started > 0 && !u.HasLabel("rack-1") {
+					t.Errorf("%s with %s got %d tasks away from their data", u.Name, u.Labels, u.Started)
+				}
+			})
+		}
+		nowhere := step(1)
+		nowhere.Label = "kind-9"
+		s.submitSteps(ctx, "c", nowhere)
+		time.Sleep(time.Second)
+		if a := s.got(t, "c"); a.state != coordinator.Refused {
+			t.Errorf("a job that fits nowhere is %v", a.state)
+		}
+	})
+}
--- a/lib/coordinator/survey.go
+++ b/lib/coordinator/survey.go
@@ -36,9 +36,15 @@
 	}
 	waits := false
 	for _, j := range c.jobs {
-		if v := c.surveys[j.Service]; v != nil && j.placed+j.done < len(j.tasks) {
-			v.need(j.Need)
-			waits = true
+		v := c.surveys[j.Service]
+		if v == nil || !j.isOpen() {
+			continue
+		}
+		waits = true
+		for s := range j.Steps {
+			if j.left[s] > 0 && j.due(s) {
+				v.need(j.Steps[s].Need)
+			}
 		}
 	}
 	if !waits && now.Sub(c.lookedAt) < idleInterval {
@@ -84,12 +90,12 @@
 	v.least = packer.Amount{CPU: min(v.least.CPU, a.CPU), Memory: min(v.least.Memory, a.Memory), GPU: min(v.least.GPU, a.GPU)}
 }
 
-// fastest is the shortest run time that is expected for a task of the job.
+// fastest is the shortest time that is expected until the end of the job.
 func (c *Coordinator) fastest(j *job) time.Duration {
 	best := 0.0
 	if v := c.surveys[j.Service]; v != nil {
 		for capacity, slowness := range v.fastest {
-			if capacity.Holds(j.Need) && (best == 0 || slowness < best) {
+			if capacity.Holds(j.Steps[0].Need) && (best == 0 || slowness < best) {
 				best = slowness
 			}
 		}
@@ -97,5 +103,5 @@
 	if best == 0 {
 		best = 1
 	}
-	return time.Duration(float64(j.expected()) * best)
+	return time.Duration(float64(j.chain()) * best)
 }
--- a/lib/keeper/adopter.go
+++ b/lib/keeper/adopter.go
@@ -36,7 +36,8 @@
 
 // stray is an end of a job that this entry does not hold.
 type stray struct {
-	index  uint32
+	step   int
+	index  int
 	done   bool
 	holder string
 	end    coordinator.End
@@ -50,7 +51,7 @@
 }
 
 // Stray implements coordinator.Keeper.
-func (k *Keeper) Stray(id string, index uint32, done bool, holder string, e coordinator.End) {
+func (k *Keeper) Stray(id string, step, index int, done bool, holder string, e coordinator.End) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x := k.jobs[id]
@@ -61,7 +62,7 @@
 	switch {
 	case x == nil && (holder == "" || holder != k.Identity.Holder()):
 		if !slices.ContainsFunc(k.strays[id], func(s stray) bool { return s.end == e }) {
-			k.strays[id] = append(k.strays[id], stray{index, done, holder, e, time.Now()})
+			k.strays[id] = append(k.strays[id], stray{step, index, done, holder, e, time.Now()})
 		}
 	case x != nil && (slices.Contains(x.ends, e) || slices.Contains(x.pending, e)):
 	default:
@@ -118,6 +119,8 @@
 	if len(records) > 0 {
 		k.KeepJobs()
 		k.Peers.KeepJobs()
+	} else if !k.keeping.Load() {
+		k.Peers.KeepNothing()
 	}
 	live := k.Identity.Holders()
 	members := make([]divider.Member, 0, len(names))
@@ -257,7 +260,9 @@
 	r.Term++
 	told := k.strays[id]
 	for _, s := range told {
-		x.count(s.index, s.done)
+		if n, ok := numberOf(r, s.step, s.index); ok {
+			x.count(n, s.done)
+		}
 		x.pending = append(x.pending, s.end)
 	}
 	delete(k.strays, id)
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -88,8 +88,10 @@
 	Claim(peer, holder string)
 	// Notify tells an entry that somebody changed the record of a job.
 	Notify(peer, job string)
-	// KeepJobs tells all entries that there are kept jobs.
+	// KeepJobs tells all entries that there are kept jobs, KeepNothing this one that
+	// there are none.
 	KeepJobs()
+	KeepNothing()
 }
 
 // Commits writes changes; a committer.Committer does.
--- a/lib/keeper/record.go
+++ b/lib/keeper/record.go
@@ -13,23 +13,53 @@
 
 // recordOf describes a job that was just accepted.
 func recordOf(j coordinator.Job, holder string) *wire.KeptJob {
-	return &wire.KeptJob{
+	out := &wire.KeptJob{
 		Queue: j.Kind, Service: j.Service, Spec: j.Spec, Holder: holder, MaxFailures: uint32(j.MaxFailures),
 		ArrivedMs: j.Arrived.UnixMilli(), DueMs: j.Due.UnixMilli(),
-		Steps: []*wire.KeptStep{{
-			Tasks: uint32(j.Tasks), Need: runner.MessageOf(j.Need), ExpectedMs: float64(j.Expected) / float64(time.Millisecond),
-		}},
 	}
+	for _, s := range j.Steps {
+		step := &wire.KeptStep{
+			Tasks: uint32(s.Tasks), Need: runner.MessageOf(s.Need), ExpectedMs: float64(s.Expected) / float64(time.Millisecond),
+			Label: s.Label, Data: s.Data, MostTogether: uint32(s.MostTogether),
+		}
+		for _, before := range s.After {
+			step.After = append(step.After, uint32(before))
+		}
+		out.Steps = append(out.Steps, step)
+	}
+	return out
+}
+
+// numberOf counts a task over all steps; false if the record has no such task.
+func numberOf(r *wire.KeptJob, step, index int) (uint32, bool) {
+	if step >= len(r.GetSteps()) || index >= int(r.GetSteps()[step].GetTasks()) {
+		return 0, false
+	}
+	n := uint32(index)
+	for _, s := range r.GetSteps()[:step] {
+		n += s.GetTasks()
+	}
+	return n, true
 }
 
 // jobOf returns the job that a record describes.
 func jobOf(id string, r *wire.KeptJob) coordinator.Job {
-	step := r.GetSteps()[0]
+	var steps []coordinator.Step
+	for _, s := range r.GetSteps() {
+		step := coordinator.Step{
+			Tasks: int(s.GetTasks()), Need: runner.AmountOf(s.GetNeed()),
+			Expected: time.Duration(s.GetExpectedMs() * float64(time.Millisecond)),
+			Label:    s.GetLabel(), Data: s.GetData(), MostTogether: int(s.GetMostTogether()),
+		}
+		for _, before := range s.GetAfter() {
+			step.After = append(step.After, int(before))
+		}
+		steps = append(steps, step)
+	}
 	return coordinator.Job{
 		ID: id, Kind: r.GetQueue(), Service: r.GetService(), Spec: r.GetSpec(), Holder: r.GetHolder(),
-		Tasks: int(step.GetTasks()), Need: runner.AmountOf(step.GetNeed()),
-		Expected: time.Duration(step.GetExpectedMs() * float64(time.Millisecond)),
-		Arrived:  time.UnixMilli(r.GetArrivedMs()), Due: time.UnixMilli(r.GetDueMs()),
+		Steps:   steps,
+		Arrived: time.UnixMilli(r.GetArrivedMs()), Due: time.UnixMilli(r.GetDueMs()),
 		MaxFailures: int(r.GetMaxFailures()), Done: r.GetDone(), Failures: r.GetFailures(), FirstRun: uint64(r.GetTerm()) << termShift,
 	}
 }
--- /dev/null
+++ b/lib/keeper/world_test.go
@@ -0,0 +1,441 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/committer"
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/divider"
+	"radishweir.org/lib/imitator"
+	"radishweir.org/lib/keeper"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+const (
+	// way is the time of a message between entries.
+	way = time.Millisecond
+	// silence is when entries notice that one is gone, lapse when its registration
+	// ends and hold when its identity does.
+	silence = 350 * time.Millisecond
+	lapse   = 2 * time.Second
+	hold    = 8 * time.Second
+)
+
+// need is what each task takes; an upstream holds two.
+var need = packer.Amount{CPU: 6800, Memory: 64}
+
+// world is a set of entries on one store and one fleet, all in memory.
+type world struct {
+	t     *testing.T
+	rng   *rand.Rand
+	fleet *imitator.Fleet
+	store *store
+
+	mu sync.Mutex
+	// nodes are the entries by name, alive or not.
+	nodes map[string]*node
+	// registered are those that own upstreams, by name, with their life.
+	registered map[string]string
+	// holders are the identities that are in the store.
+	holders map[string]bool
+	token   int64
+	lives   int
+}
+
+// node is one life of an entry.
+type node struct {
+	world  *world
+	name   string
+	life   string
+	ctx    context.Context
+	cancel context.CancelFunc
+	holder string
+
+	*coordinator.Coordinator
+	runner *runner.Runner
+	keeper *keeper.Keeper
+}
+
+// newWorld starts n entries on m upstreams.
+func newWorld(t *testing.T, seed uint64, n, m int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: imitator.New(), store: newStore(seed),
+		nodes: make(map[string]*node), registered: make(map[string]string), holders: make(map[string]bool),
+	}
+	w.fleet.Amount = need
+	w.fleet.Kept = func(string) bool { return true }
+	for i := range m {
+		w.fleet.Add(runner.Upstream{
+			Name: fmt.Sprintf("u%02d", i), Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 65536},
+		}, 1)
+	}
+	for i := range n {
+		w.start(fmt.Sprintf("entry-%d", i+1))
+	}
+	time.Sleep(time.Second)
+	return w
+}
+
+// start begins a new life of an entry.
+func (w *world) start(name string) {
+	w.mu.Lock()
+	w.lives++
+	x := &node{world: w, name: name, life: fmt.Sprintf("life-%d", w.lives)}
+	x.ctx, x.cancel = context.WithCancel(w.t.Context())
+	old := w.nodes[name]
+	w.mu.Unlock()
+	if old != nil {
+		old.cancel()
+	}
+	x.Coordinator = &coordinator.Coordinator{Self: name, PeerSilence: silence, Remote: x, Log: worldLog}
+	x.runner = &runner.Runner{Client: w.fleet, Ended: x.ended, Changed: x.changed, Log: worldLog}
+	x.Local = x.runner
+	commits := &committer.Committer{Store: w.store, Interval: func() time.Duration { return 20 * time.Millisecond }, Log: worldLog}
+	x.keeper = &keeper.Keeper{Self: name, Store: w.store, Commits: commits, Jobs: x.Coordinator, Identity: x, Peers: x, Log: worldLog}
+	x.keeper.Init()
+	x.Keeper = x.keeper
+	x.Init(x.ctx)
+	x.Upstreams(w.fleet.List())
+	go x.Run(x.ctx)
+	go commits.Run(x.ctx)
+	go x.keeper.Run(x.ctx)
+	w.mu.Lock()
+	w.nodes[name] = x
+	w.registered[name] = x.life
+	// The former life has certainly ended.
+	for h := range w.holders {
+		if strings.HasPrefix(h, name+"@") {
+			delete(w.holders, h)
+		}
+	}
+	w.mu.Unlock()
+	for _, other := range w.alive() {
+		if other != x {
+			x.Up(other.name, 1)
+			other.Up(name, 1)
+			other.runner.Retell(name)
+		}
+	}
+	w.divide()
+	w.review()
+}
+
+// kill ends an entry; the others learn of it in steps.
+func (w *world) kill(name string) {
+	w.mu.Lock()
+	x := w.nodes[name]
+	life, holder := x.life, x.holder
+	delete(w.nodes, name)
+	w.mu.Unlock()
+	x.cancel()
+	time.AfterFunc(silence, func() {
+		if w.lives0(name) != "" {
+			return
+		}
+		for _, other := range w.alive() {
+			other.Down(name)
+			other.keeper.Unasked(name)
+			other.runner.Abandon(other.ctx, name)
+		}
+	})
+	time.AfterFunc(lapse, func() {
+		w.mu.Lock()
+		gone := w.registered[name] == life
+		if gone {
+			delete(w.registered, name)
+		}
+		w.mu.Unlock()
+		if gone {
+			w.divide()
+		}
+	})
+	time.AfterFunc(hold, func() {
+		w.mu.Lock()
+		delete(w.holders, holder)
+		w.mu.Unlock()
+		w.review()
+	})
+}
+
+// lives0 returns the present life of an entry, empty if it is dead.
+func (w *world) lives0(name string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x := w.nodes[name]; x != nil {
+		return x.life
+	}
+	return ""
+}
+
+// alive lists the living entries by name.
+func (w *world) alive() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*node
+	for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+		out = append(out, w.nodes[name])
+	}
+	return out
+}
+
+// divide gives every upstream to one registered entry.
+func (w *world) divide() {
+	w.mu.Lock()
+	w.token++
+	token := w.token
+	var members []divider.Member
+	for name := range w.registered {
+		members = append(members, divider.Member{Name: name})
+	}
+	w.mu.Unlock()
+	for _, x := range w.alive() {
+		var own []runner.Upstream
+		for _, u := range w.fleet.List() {
+			if owner, ok := divider.Owner(u.Name, "", members); ok && owner == x.name {
+				own = append(own, u)
+			}
+		}
+		x.runner.Own(x.ctx, token, own)
+		for _, s := range x.runner.States() {
+			x.changed(s.GetUpstream())
+		}
+	}
+}
+
+func (w *world) review() {
+	for _, x := range w.alive() {
+		x.keeper.Review()
+	}
+}
+
+// deliver runs f at an entry after the way of a message, unless either end has
+// died meanwhile.
+func (x *node) deliver(peer string, f func(p *node)) bool {
+	w := x.world
+	w.mu.Lock()
+	p := w.nodes[peer]
+	w.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	time.AfterFunc(way, func() {
+		if x.ctx.Err() == nil && p.ctx.Err() == nil {
+			f(p)
+		}
+	})
+	return true
+}
+
+// ended tells the requester the end of a run.
+func (x *node) ended(requester string, e *wire.RunEnd) {
+	if requester == x.name {
+		x.Ended(x.name, e)
+		return
+	}
+	x.deliver(requester, func(p *node) { p.Ended(x.name, e) })
+}
+
+// changed tells all entries the state of an upstream.
+func (x *node) changed(name string) {
+	if x.ctx.Err() != nil {
+		return
+	}
+	x.Update(x.name, false, []*wire.UpstreamState{x.runner.State(name)})
+	for _, p := range x.world.alive() {
+		if p != x {
+			x.deliver(p.name, func(p *node) { p.Update(x.name, false, []*wire.UpstreamState{x.runner.State(name)}) })
+		}
+	}
+}
+
+// Send implements coordinator.Remote.
+func (x *node) Send(peer string, add func(f *wire.PeerFrame)) bool {
+	f := &wire.PeerFrame{}
+	add(f)
+	return x.deliver(peer, func(p *node) {
+		for _, q := range f.GetRequests() {
+			p.runner.Request(p.ctx, x.name, q)
+			// The owner's state that holds the request comes with its receipt.
+			p.deliver(x.name, func(x *node) { x.Taken(p.name, 1, 1<<60) })
+		}
+		for _, c := range f.GetCancels() {
+			p.runner.Cancel(p.ctx, c)
+		}
+		for _, s := range f.GetSafe() {
+			p.runner.Safe(s)
+		}
+	})
+}
+
+// Names implements keeper.Peers.
+func (x *node) Names() map[string]string {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	return maps.Clone(x.world.registered)
+}
+
+// Claim implements keeper.Peers.
+func (x *node) Claim(peer, holder string) {
+	life := x.Names()[peer]
+	claim := func(p *node) {
+		p.runner.Claim(p.ctx, x.name, holder, func() {
+			if p == x {
+				x.keeper.Claimed(peer, life, holder)
+				return
+			}
+			p.deliver(x.name, func(x *node) { x.keeper.Claimed(peer, life, holder) })
+		})
+	}
+	if peer == x.name {
+		x.keeper.Asked(peer, life, holder)
+		claim(x)
+		return
+	}
+	if x.world.lives0(peer) == life && x.deliver(peer, claim) {
+		x.keeper.Asked(peer, life, holder)
+	}
+}
+
+// Notify implements keeper.Peers.
+func (x *node) Notify(peer, job string) { x.deliver(peer, func(p *node) { p.keeper.Notice(job) }) }
+
+// KeepJobs implements keeper.Peers.
+func (x *node) KeepJobs() {
+	for _, p := range x.world.alive() {
+		p.runner.KeepJobs()
+		p.keeper.KeepJobs()
+	}
+}
+
+// KeepNothing implements keeper.Peers.
+func (x *node) KeepNothing() { x.runner.KeepNothing() }
+
+// Hold implements keeper.Identity.
+func (x *node) Hold(context.Context) (string, error) {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	if x.holder == "" {
+		x.holder = x.name + "@" + x.life
+		x.world.holders[x.holder] = true
+	}
+	return x.holder, nil
+}
+
+// Holder implements keeper.Identity.
+func (x *node) Holder() string {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	if x.ctx.Err() != nil {
+		return ""
+	}
+	return x.holder
+}
+
+// Holders implements keeper.Identity.
+func (x *node) Holders() map[string]bool {
+	x.world.mu.Lock()
+	defer x.world.mu.Unlock()
+	return maps.Clone(x.world.holders)
+}
+
+// store is the platform's store in memory. Some writes are carried out and not
+// answered, some calls refused.
+type store struct {
+	platform.Store
+	mu       sync.Mutex
+	rng      *rand.Rand
+	revision int64
+	items    map[string]platform.KeyValue
+	down     bool
+	calls    int
+}
+
+func newStore(seed uint64) *store {
+	return &store{rng: rand.New(rand.NewPCG(seed, 2)), items: make(map[string]platform.KeyValue)}
+}
+
+// latency is the time of a call.
+const latency = 4 * time.Millisecond
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// begin counts a call and reports whether it is answered.
+func (s *store) begin() error {
+	time.Sleep(latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	if err := s.begin(); err != nil {
+		return platform.KeyValue{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key], nil
+}
+
+func (s *store) List(_ context.Context, prefix string) (platform.Snapshot, error) {
+	if err := s.begin(); err != nil {
+		return platform.Snapshot{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := platform.Snapshot{Revision: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			out.KeyValues = append(out.KeyValues, s.items[key])
+		}
+	}
+	return out, nil
+}
+
+func (s *store) Swap(_ context.Context, writes ...platform.Write) (int64, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range writes {
+		if !w.Unconditional && s.items[w.Key].Revision != w.Expected {
+			return 0, platform.ErrConflict
+		}
+	}
+	s.revision++
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.items, w.Key)
+			continue
+		}
+		s.items[w.Key] = platform.KeyValue{Key: w.Key, Value: w.Value, Revision: s.revision}
+	}
+	if s.rng.IntN(30) == 0 {
+		return 0, platform.ErrUnknown
+	}
+	return s.revision, nil
+}
+
+// worldLog receives the events of all entries.
+var worldLog = zerolog.Nop()
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -60,6 +60,8 @@
 	Slowness float64
 	// Near is true in the caller's failure domain.
 	Near bool
+	// Most bounds how often it is named; 0 for no bound.
+	Most int
 }
 
 // slownessStep is the width of the classes within which upstreams count as
@@ -80,7 +82,11 @@
 	})
 	out := make([]string, 0, n)
 	for _, c := range candidates {
-		for range c.Free.Copies(need, n-len(out)) {
+		most := n - len(out)
+		if c.Most > 0 {
+			most = min(most, c.Most)
+		}
+		for range c.Free.Copies(need, most) {
 			out = append(out, c.Name)
 		}
 		if len(out) == n {
--- a/lib/runner/keeper.go
+++ b/lib/runner/keeper.go
@@ -71,7 +71,7 @@
 	out := keptEnd{key: k, cause: e.Cause, until: now.Add(strayMemory)}
 	switch {
 	case r == nil || r.requester == "":
-		if !h.runner.keeping.Load() {
+		if h.runner.keepsNothing.Load() {
 			return
 		}
 	case r.request.GetHolder() == "":
@@ -85,7 +85,7 @@
 // expireKept gives up ends that nobody asks for; the caller holds the lock.
 func (h *held) expireKept(now time.Time) {
 	for n, e := range h.kept {
-		if now.After(e.until) && e.holder == "" {
+		if e.holder == "" && (now.After(e.until) || h.runner.keepsNothing.Load()) {
 			delete(h.kept, n)
 		}
 	}
@@ -169,8 +169,11 @@
 }
 
 // KeepJobs tells that there are kept jobs, so that ends of runs whose requester
-// is not known are held back too.
-func (r *Runner) KeepJobs() { r.keeping.Store(true) }
+// is not known are held back too. That is also assumed until KeepNothing.
+func (r *Runner) KeepJobs() { r.keepsNothing.Store(false) }
+
+// KeepNothing tells that there are no kept jobs.
+func (r *Runner) KeepNothing() { r.keepsNothing.Store(true) }
 
 // Safe lets an upstream forget the end of a kept run.
 func (r *Runner) Safe(s *wire.RunSafe) {
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -87,7 +87,8 @@
 	token int64
 	// claimed are holders whose jobs were taken over.
 	claimed map[string]bool
-	keeping atomic.Bool
+	// keepsNothing is true once it is known that there are no kept jobs.
+	keepsNothing atomic.Bool
 	// early are attachments to upstreams that are not owned yet.
 	early []attachment
 }
--- a/lib/runner/upstream.go
+++ b/lib/runner/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,8 +29,22 @@
 	Leaving bool
 	// Connections bounds the connections to it from all entries.
 	Connections int
+	// Labels are its labels, each between two bars; a string keeps upstreams
+	// comparable.
+	Labels string
 }
 
+// LabelsOf returns labels in the form of Upstream.Labels.
+func LabelsOf(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return "|" + strings.Join(list, "|") + "|"
+}
+
+// HasLabel reports whether the upstream has a label.
+func (u *Upstream) HasLabel(label string) bool { return strings.Contains(u.Labels, "|"+label+"|") }
+
 // Order starts or stops one run.
 type Order struct {
 	Task string
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -90,6 +90,13 @@
 	p.keeping.Store(true)
 }
 
+// KeepNothing implements keeper.Peers.
+func (p *peers) KeepNothing() {
+	if !p.keeping.Load() {
+		p.runner.KeepNothing()
+	}
+}
+
 // vacate ends the runs of a holder on the upstreams of this entry once these are
 // known.
 func (e *Entry) vacate(adopter, holder string, done func()) {
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -13,7 +13,6 @@
 	e.divides.Lock()
 	defer e.divides.Unlock()
 	if len(e.enroller.Holders()) > 0 {
-		// Before the first look: ends of kept runs must not be taken note of.
 		e.runner.KeepJobs()
 	}
 	registrations, token := e.enroller.Members()
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -23,6 +23,7 @@
 	StoreWrites      int    `toml:"store_writes"`
 	LogLevel         string `toml:"log_level"`
 	Cores            string `toml:"cores"`
+	FarFactor        string `toml:"far_factor"`
 	MemoryMB         int    `toml:"memory_mb"`
 	BalancerWait     string `toml:"balancer_wait"`
 	DrainLimit       string `toml:"drain_limit"`
@@ -41,6 +42,7 @@
 		{Key: "store_writes", Value: &s.StoreWrites, Default: 400, Check: loader.Between(1, 1<<20)},
 		{Key: "log_level", Value: &s.LogLevel, Default: "info", Check: loader.OneOf("debug", "info", "warn", "error")},
 		{Key: "cores", Value: &s.Cores, Default: "1", Check: loader.Number(0.01, 1024)},
+		{Key: "far_factor", Value: &s.FarFactor, Default: "1", Check: loader.Number(1, 100)},
 		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.Between(32, 1<<20)},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.Span(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.Span(time.Second, time.Hour)},
@@ -108,6 +110,13 @@
 // makes two parts.
 const weightPerCore = 20
 
+// farFactor is how many times as long tasks take away from their data.
+func (s *Settings) farFactor() float64 {
+	// The settings were checked.
+	f, _ := strconv.ParseFloat(s.FarFactor, 64)
+	return f
+}
+
 // weight is the entry's share in the upstreams beside the others.
 func (s *Settings) weight() uint32 {
 	cores, _ := strconv.ParseFloat(s.Cores, 64)
