Select the best upstreams instead of sorting all; confirm idle ends later

A job sorted all 350 open upstreams for its few tasks, and each idle upstream got a look of its own only to take note of ends.

Change: packer keeps the best n; ends of an idle upstream wait up to 0.5 s for the next run's look.

--- a/lib/coordinator/survey.go
+++ b/lib/coordinator/survey.go
@@ -17,7 +17,24 @@
 	open []*site
 	// fastest is the lowest slowness of the usable upstreams by capacity; there are
 	// few different capacities.
-	fastest map[packer.Amount]float64
+	fastest []speed
+}
+
+// speed is the lowest slowness of upstreams of the same capacity.
+type speed struct {
+	capacity packer.Amount
+	slowness float64
+}
+
+// note takes a usable upstream.
+func (v *survey) note(s *site) {
+	for i := range v.fastest {
+		if f := &v.fastest[i]; f.capacity == s.Capacity {
+			f.slowness = min(f.slowness, s.slowness)
+			return
+		}
+	}
+	v.fastest = append(v.fastest, speed{s.Capacity, s.slowness})
 }
 
 // look surveys all upstreams; the caller holds the lock.
@@ -29,7 +46,7 @@
 	for name := range c.services {
 		v := c.surveys[name]
 		if v == nil {
-			v = &survey{fastest: make(map[packer.Amount]float64)}
+			v = &survey{}
 			c.surveys[name] = v
 		}
 		v.open, v.any = v.open[:0], false
@@ -54,15 +71,13 @@
 	c.lookedAt = now
 	for name, list := range c.services {
 		v := c.surveys[name]
-		clear(v.fastest)
+		v.fastest = v.fastest[:0]
 		for _, s := range list {
 			if !c.usable(s) {
 				continue
 			}
 			cores += float64(s.Capacity.CPU) / 1000
-			if best, ok := v.fastest[s.Capacity]; !ok || s.slowness < best {
-				v.fastest[s.Capacity] = s.slowness
-			}
+			v.note(s)
 			if v.any && s.room().Holds(v.least) {
 				v.open = append(v.open, s)
 			}
@@ -94,9 +109,9 @@
 func (c *Coordinator) fastest(j *job) time.Duration {
 	best := 0.0
 	if v := c.surveys[j.Service]; v != nil {
-		for capacity, slowness := range v.fastest {
-			if capacity.Holds(j.Steps[0].Need) && (best == 0 || slowness < best) {
-				best = slowness
+		for _, f := range v.fastest {
+			if f.capacity.Holds(j.Steps[0].Need) && (best == 0 || f.slowness < best) {
+				best = f.slowness
 			}
 		}
 	}
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -73,15 +73,10 @@
 
 // Pack returns the names of up to n upstreams, one for each task that needs
 // the given amount; an upstream may be named several times. Fast upstreams come
-// first, then near ones, then those that are left with the least room. The
-// candidates are reordered.
+// first, then near ones, then those that are left with the least room.
 func Pack(n int, need Amount, candidates []Candidate) []string {
-	slices.SortFunc(candidates, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.class(), b.class()), cmp.Compare(order(a), order(b)),
-			cmp.Compare(leftover(a, need), leftover(b, need)), cmp.Compare(a.Name, b.Name))
-	})
 	out := make([]string, 0, n)
-	for _, c := range candidates {
+	for _, c := range best(n, need, candidates) {
 		most := n - len(out)
 		if c.Most > 0 {
 			most = min(most, c.Most)
@@ -96,6 +91,33 @@
 	return out
 }
 
+// best returns the first n candidates in the order of Pack; fleets are large
+// beside what one job needs, so they are not all sorted.
+func best(n int, need Amount, candidates []Candidate) []Candidate {
+	compare := func(a, b Candidate) int {
+		if c := cmp.Compare(a.class(), b.class()); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(order(a), order(b)); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(leftover(a, need), leftover(b, need)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	}
+	out := make([]Candidate, 0, min(n, len(candidates))+1)
+	for _, c := range candidates {
+		if len(out) == n && (n == 0 || compare(c, out[n-1]) >= 0) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(out, c, compare)
+		out = slices.Insert(out, i, c)
+		out = out[:min(len(out), n)]
+	}
+	return out
+}
+
 // order puts near candidates before the others.
 func order(c Candidate) int {
 	if c.Near {
--- a/lib/runner/looker.go
+++ b/lib/runner/looker.go
@@ -13,11 +13,11 @@
 			return
 		}
 		if l == nil {
-			select {
-			case <-ctx.Done():
-			case <-h.wake:
+			if !h.idle(ctx) {
+				continue
 			}
-			continue
+			// Nothing was started for a while; the ends are taken note of by themselves.
+			l = h.confirmation()
 		}
 		answer := make(chan error, 1)
 		go func() { answer <- h.look(ctx, u, *l) }()
@@ -37,6 +37,34 @@
 	}
 }
 
+// idle waits while nothing runs on the upstream, and reports whether ends are to
+// be taken note of by a look of their own.
+func (h *held) idle(ctx context.Context) bool {
+	h.mu.Lock()
+	due := h.unconfirmed && h.open && h.token != h.refusedToken
+	h.mu.Unlock()
+	var after <-chan time.Time
+	if due {
+		t := time.NewTimer(confirmDelay)
+		defer t.Stop()
+		after = t.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-h.wake:
+	case <-after:
+		return true
+	}
+	return false
+}
+
+// confirmation is a look that only takes note of ends.
+func (h *held) confirmation() *Look {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &Look{Token: h.token, Observed: h.observed()}
+}
+
 // look sends one look and takes its answer.
 func (h *held) look(ctx context.Context, u Upstream, l Look) error {
 	sent := time.Now()
@@ -132,10 +160,7 @@
 		return l, h.upstream, true
 	}
 	if len(h.runs) == 0 {
-		if !h.unconfirmed {
-			return nil, h.upstream, true
-		}
-		return l, h.upstream, true
+		return nil, h.upstream, true
 	}
 	// The lease of an upstream that cannot be reached is left to run out, so that
 	// its runs end at a known time.
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -46,6 +46,9 @@
 	// overdueFactor is how many times its expected run time a run takes before
 	// an extra look; about a quarter of all runs take that long.
 	overdueFactor = 1.3
+	// confirmDelay is how long the ends of an idle upstream wait for the look of the
+	// next run to be taken note of; an eighth of the time that is allowed.
+	confirmDelay = 500 * time.Millisecond
 	// silenceLimit is the time without any answer after which an upstream that
 	// was asked gets no new runs.
 	silenceLimit = 250 * time.Millisecond
