Read a kept job's record under its lock; stop one cancelled as it is accepted

Reading the keeper again for it: the record of a job that was just accepted, and that of one that is read anew, were read outside the lock while a notice could replace them; and a cancellation that came between the acceptance and the hand-over to the coordinator left the job running.

--- a/lib/keeper/adopter.go
+++ b/lib/keeper/adopter.go
@@ -279,7 +279,7 @@
 		}
 		k.flushed(x, wire.KeptJob_open, revision, nil)
 		if k.Identity.Holder() == self {
-			k.Jobs.Keep(job)
+			k.keep(x, job)
 		}
 	})
 }
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -221,11 +221,12 @@
 		if !current && k.jobs[x.id] == x {
 			delete(k.jobs, x.id)
 		}
+		job := jobOf(x.id, x.record)
 		k.mu.Unlock()
-		close(x.ready)
 		if current {
-			k.Jobs.Keep(jobOf(x.id, x.record))
+			k.keep(x, job)
 		}
+		close(x.ready)
 		return
 	case isConflict(err):
 		// Another entry stored it before, or this one in an earlier life.
@@ -239,6 +240,18 @@
 	close(x.ready)
 }
 
+// keep gives a stored job to those that run it, unless it was cancelled or given
+// up meanwhile.
+func (k *Keeper) keep(x *kept, job coordinator.Job) {
+	k.Jobs.Keep(job)
+	k.mu.Lock()
+	over := k.jobs[x.id] != x || x.record.GetState() == wire.KeptJob_cancelled
+	k.mu.Unlock()
+	if over {
+		k.Jobs.Release(x.id)
+	}
+}
+
 // forget drops a job from memory.
 func (k *Keeper) forget(x *kept) {
 	k.mu.Lock()
@@ -356,6 +369,9 @@
 // reload reads the record of a job that somebody else changed: the job was
 // cancelled or taken over.
 func (k *Keeper) reload(x *kept) {
+	k.mu.Lock()
+	holder := x.record.GetHolder()
+	k.mu.Unlock()
 	var record *wire.KeptJob
 	var revision int64
 	for {
@@ -364,7 +380,7 @@
 			record, revision = decode(kv.Value), kv.Revision
 			break
 		}
-		if k.Identity.Holder() != x.record.GetHolder() {
+		if k.Identity.Holder() != holder {
 			break
 		}
 		time.Sleep(retryInterval)
@@ -374,7 +390,7 @@
 		k.mu.Unlock()
 		return
 	}
-	if revision != 0 && record.GetState() == wire.KeptJob_open && record.GetHolder() == x.record.GetHolder() {
+	if revision != 0 && record.GetState() == wire.KeptJob_open && record.GetHolder() == holder {
 		// Nobody else changed it.
 		x.revision = revision
 		k.flush(x)
--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -175,6 +175,37 @@
 	})
 }
 
+// A cancellation may come at any moment around the acceptance; what it ended does
+// not run on.
+func TestCancelAtAnyMoment(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, 6, 3, 6)
+		defer w.stop()
+		w.fleet.SetLength(func(string) time.Duration { return time.Second })
+		cancelled := 0
+		for i := range 120 {
+			id := fmt.Sprintf("j%d", i)
+			var work sync.WaitGroup
+			work.Go(func() { w.alive()[0].submit(id, 1) })
+			time.Sleep(time.Duration(i) * 250 * time.Microsecond)
+			ok, err := w.alive()[2].keeper.Cancel(t.Context(), id)
+			work.Wait()
+			time.Sleep(100 * time.Millisecond)
+			if n := w.fleet.Running(); ok && err == nil && n > 0 {
+				t.Errorf("%d runs after a cancellation %v after the submission", n, time.Duration(i)*250*time.Microsecond)
+			}
+			if ok {
+				cancelled++
+			} else {
+				time.Sleep(2500 * time.Millisecond)
+			}
+		}
+		if cancelled < 40 {
+			t.Errorf("%d of 120 jobs were cancelled", cancelled)
+		}
+	})
+}
+
 // The jobs of a dead entry are taken over, and what was done is not done again.
 func TestTakeover(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
