Read the test store's counter under its lock

TestWriteRates read the number of transactions while writes of ended jobs were still under way, the one unlocked read that was found.

Change: the tests read through the lock.

--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -86,7 +86,7 @@
 		if s := w.alive()[0].submit("a", 3); s != coordinator.Accepted {
 			t.Fatalf("the job is %v", s)
 		}
-		if _, ok := w.store.items[keeperKey("a")]; !ok {
+		if kv, err := w.store.Get(t.Context(), keeperKey("a")); err != nil || kv.Revision == 0 {
 			t.Error("the job was accepted and is not in the store")
 		}
 		for _, x := range w.alive() {
--- a/lib/keeper/rate_test.go
+++ b/lib/keeper/rate_test.go
@@ -25,7 +25,7 @@
 				w.fleet.SetLength(func(string) time.Duration { return 60 * time.Millisecond })
 				w.interval = time.Duration(float64(c.entries) / (commitShare * float64(c.writes)) * float64(time.Second))
 				nodes := w.alive()
-				before := w.store.transactions
+				before := w.store.carriedOut()
 				var mu sync.Mutex
 				var took []time.Duration
 				var work sync.WaitGroup
@@ -43,7 +43,7 @@
 					time.Sleep(time.Second / time.Duration(c.jobs))
 				}
 				work.Wait()
-				rate := int(float64(w.store.transactions-before) / time.Since(start).Seconds())
+				rate := int(float64(w.store.carriedOut()-before) / time.Since(start).Seconds())
 				slices.Sort(took)
 				median := took[len(took)/2]
 				t.Logf("%d of %d accepted, %d transactions a second, %v at the median", len(took), c.number, rate, median)
--- a/lib/keeper/world_test.go
+++ b/lib/keeper/world_test.go
@@ -381,6 +381,13 @@
 	s.down = down
 }
 
+// carriedOut counts the transactions so far.
+func (s *store) carriedOut() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.transactions
+}
+
 // begin counts a call and reports whether it is answered.
 func (s *store) begin() error {
 	time.Sleep(latency)
