--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -297,13 +297,13 @@
 
 // restart kills an entry and starts it again a little later.
 func (w *world) restart(name string) {
-	if w.lives0(name) == "" {
+	if w.lifeOf(name) == "" {
 		return
 	}
 	w.kill(name)
 	pause := time.Duration(w.rng.IntN(4000)) * time.Millisecond
 	time.AfterFunc(pause, func() {
-		if w.lives0(name) == "" && w.t.Context().Err() == nil {
+		if w.lifeOf(name) == "" && w.t.Context().Err() == nil {
 			w.start(name)
 		}
 	})
--- a/lib/keeper/world_test.go
+++ b/lib/keeper/world_test.go
@@ -145,7 +145,7 @@
 	w.mu.Unlock()
 	x.cancel()
 	time.AfterFunc(silence, func() {
-		if w.lives0(name) != "" {
+		if w.lifeOf(name) != "" {
 			return
 		}
 		for _, other := range w.alive() {
@@ -173,8 +173,8 @@
 	})
 }
 
-// lives0 returns the present life of an entry, empty if it is dead.
-func (w *world) lives0(name string) string {
+// lifeOf returns the present life of an entry, empty if it is dead.
+func (w *world) lifeOf(name string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if x := w.nodes[name]; x != nil {
@@ -307,7 +307,7 @@
 		claim(x)
 		return
 	}
-	if x.world.lives0(peer) == life && x.deliver(peer, claim) {
+	if x.world.lifeOf(peer) == life && x.deliver(peer, claim) {
 		x.keeper.Asked(peer, life, holder)
 	}
 }
