--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -12,10 +12,11 @@
 // # Usage
 //
 //	k := &keeper.Keeper{Self: "entry-1", Store: store, Commits: committer, Jobs: coordinator, Identity: enroller, Peers: peers, Log: log}
+//	k.Init()
 //	go k.Run(ctx)
 //	answer := k.Submit(ctx, job)
 //	state, err := k.State(ctx, id)
-//	err := k.Cancel(ctx, id)
+//	cancelled, err := k.Cancel(ctx, id)
 package keeper
 
 import (
@@ -82,7 +83,7 @@
 
 // Peers are the registered entries.
 type Peers interface {
-	// Names lists them by life, this entry included, as name and incarnation.
+	// Names returns the incarnation of each by its name, this entry included.
 	Names() map[string]string
 	// Claim asks an entry to end the runs of a holder; Claimed is called in turn.
 	Claim(peer, holder string)
