Give each port to one process of a test

The tests choose a random port that is free at that moment; a port chosen before and not bound yet is free too, so two of about 25 addresses of a test were the same (one test in sixty, by the birthday rule).

Ruled out: connections of other programs, whose ports lie above the range.

Change: a port is given out once in a run of the tests.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -94,11 +94,18 @@
 	ports     = 18000
 )
 
-// freeAddress returns an address whose port is free for TCP and UDP.
+// chosen holds the ports that tests were given, which may not be in use yet.
+var chosen sync.Map
+
+// freeAddress returns an address whose port is free for TCP and UDP, and that no
+// other call has returned.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
 		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if _, taken := chosen.LoadOrStore(a, true); taken {
+			continue
+		}
 		l, err := net.Listen("tcp", a)
 		if err != nil {
 			continue
