--- /dev/null
+++ b/lib/keeper/inquirer.go
@@ -0,0 +1,99 @@
+package keeper
+
+import (
+	"context"
+	"strings"
+
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/wire"
+)
+
+// read reads a record; a missing one has revision 0.
+func (k *Keeper) read(ctx context.Context, id string) (platform.KeyValue, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.Store.Get(call, Prefix+id)
+}
+
+// State returns the state of a job: queued, running, complete, failed or
+// cancelled; empty if no such job exists.
+func (k *Keeper) State(ctx context.Context, id string) (string, error) {
+	k.mu.Lock()
+	x := k.jobs[id]
+	held := x != nil && x.revision != 0 && (x.stored != wire.KeptJob_open || k.Identity.Holder() == x.record.GetHolder())
+	if held {
+		state := x.stored
+		k.mu.Unlock()
+		return k.describe(state, func() bool { return k.Jobs.Begun(id) }), nil
+	}
+	k.mu.Unlock()
+	kv, err := k.read(ctx, id)
+	if err != nil || kv.Revision == 0 {
+		return "", err
+	}
+	record := decode(kv.Value)
+	return k.describe(record.GetState(), func() bool { return len(record.GetDone()) > 0 }), nil
+}
+
+// describe names a state.
+func (k *Keeper) describe(s wire.KeptJob_State, begun func() bool) string {
+	switch {
+	case s != wire.KeptJob_open:
+		return s.String()
+	case begun():
+		return Running
+	}
+	return Queued
+}
+
+// Cancel ends a job. It returns false if no such job exists or it has ended
+// otherwise. An error means that it may go on.
+func (k *Keeper) Cancel(ctx context.Context, id string) (bool, error) {
+	for range cancelTries {
+		kv, err := k.read(ctx, id)
+		if err != nil {
+			return false, err
+		}
+		record := decode(kv.Value)
+		if kv.Revision == 0 || record.GetState() != wire.KeptJob_open {
+			return record.GetState() == wire.KeptJob_cancelled, nil
+		}
+		holder := record.GetHolder()
+		record = &wire.KeptJob{State: wire.KeptJob_cancelled, Queue: record.GetQueue(), Holder: holder, Term: record.GetTerm()}
+		fate := make(chan error, 1)
+		k.Commits.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: kv.Revision}, func(_ int64, err error) { fate <- err })
+		select {
+		case err = <-fate:
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+		switch {
+		case err == nil:
+			k.changed(id, holder)
+			return true, nil
+		case !isConflict(err):
+			return false, err
+		}
+	}
+	return false, platform.ErrConflict
+}
+
+// changed tells the holder of a job that its record was changed here.
+func (k *Keeper) changed(id, holder string) {
+	name, _, _ := strings.Cut(holder, "@")
+	if name == k.Self {
+		k.Notice(id)
+		return
+	}
+	k.Peers.Notify(name, id)
+}
+
+// Notice takes word that the record of a job was changed by another entry.
+func (k *Keeper) Notice(id string) {
+	k.mu.Lock()
+	x := k.jobs[id]
+	k.mu.Unlock()
+	if x != nil {
+		go k.reload(x)
+	}
+}
--- a/lib/keeper/record.go
+++ b/lib/keeper/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/platform"
@@ -69,3 +70,21 @@
 
 // isUnavailable reports that nothing was written.
 func isUnavailable(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
+
+// encode serializes a record; it cannot fail for messages of this schema.
+func encode(r *wire.KeptJob) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decode reads a record; an unreadable one is empty.
+func decode(data []byte) *wire.KeptJob {
+	r := &wire.KeptJob{}
+	if err := proto.Unmarshal(data, r); err != nil {
+		return &wire.KeptJob{}
+	}
+	return r
+}
--- /dev/null
+++ b/lib/keeper/writer.go
@@ -0,0 +1,163 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/wire"
+)
+
+// TaskEnded implements coordinator.Keeper.
+func (k *Keeper) TaskEnded(id string, index uint32, done bool, e coordinator.End) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x := k.jobs[id]
+	if x == nil {
+		return
+	}
+	x.count(index, done)
+	x.ends = append(x.ends, e)
+	if x.timed || x.writing {
+		x.dirty = true
+		return
+	}
+	x.timed, x.dirty = true, true
+	time.AfterFunc(progressDelay, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		x.timed = false
+		k.flush(x)
+	})
+}
+
+// count notes the end of a run in the record.
+func (x *kept) count(index uint32, done bool) {
+	if done {
+		x.record.Done = append(x.record.Done, index)
+		return
+	}
+	if x.record.Failures == nil {
+		x.record.Failures = make(map[uint32]uint32)
+	}
+	x.record.Failures[index]++
+}
+
+// JobEnded implements coordinator.Keeper.
+func (k *Keeper) JobEnded(id string, s coordinator.State) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x := k.jobs[id]
+	if x == nil || x.record.GetState() != wire.KeptJob_open {
+		return
+	}
+	x.record.State = wire.KeptJob_complete
+	if s == coordinator.Failed {
+		x.record.State = wire.KeptJob_failed
+	}
+	x.dirty = true
+	k.flush(x)
+}
+
+// flush writes the record if it changed; the caller holds the lock.
+func (k *Keeper) flush(x *kept) {
+	if x.writing || !x.dirty || k.jobs[x.id] != x {
+		return
+	}
+	x.writing, x.dirty = true, false
+	x.pending, x.ends = append(x.pending, x.ends...), nil
+	if x.record.GetState() != wire.KeptJob_open {
+		// Nobody runs it any more.
+		x.record.Spec, x.record.Done, x.record.Failures = "", nil, nil
+	}
+	state := x.record.GetState()
+	w := platform.Write{Key: Prefix + x.id, Value: encode(x.record), Expected: x.revision}
+	k.Commits.Commit(w, func(revision int64, err error) { k.flushed(x, state, revision, err) })
+}
+
+// flushed takes the fate of a write.
+func (k *Keeper) flushed(x *kept, state wire.KeptJob_State, revision int64, err error) {
+	k.mu.Lock()
+	x.writing = false
+	switch {
+	case err == nil:
+		safe := x.pending
+		x.revision, x.stored, x.pending = revision, state, nil
+		k.flush(x)
+		if state != wire.KeptJob_open && !x.writing {
+			time.AfterFunc(retention, func() { k.remove(x) })
+		}
+		k.mu.Unlock()
+		k.Jobs.Safe(safe)
+	case isConflict(err):
+		// What was to be written is written with the next change.
+		x.dirty = true
+		k.mu.Unlock()
+		go k.reload(x)
+	default:
+		x.dirty = true
+		time.AfterFunc(retryInterval, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.flush(x)
+		})
+		k.mu.Unlock()
+	}
+}
+
+// remove deletes a job whose outcome was kept for long enough.
+func (k *Keeper) remove(x *kept) {
+	k.forget(x)
+	k.Commits.Commit(platform.Write{Key: Prefix + x.id, Expected: x.revision, Delete: true}, func(int64, error) {
+		// Whoever changed the record since removes it.
+	})
+}
+
+// reload reads the record of a job that somebody else changed: the job was
+// cancelled or taken over.
+func (k *Keeper) reload(x *kept) {
+	k.mu.Lock()
+	holder := x.record.GetHolder()
+	k.mu.Unlock()
+	var record *wire.KeptJob
+	var revision int64
+	for {
+		kv, err := k.read(context.Background(), x.id)
+		if err == nil {
+			record, revision = decode(kv.Value), kv.Revision
+			break
+		}
+		if k.Identity.Holder() != holder {
+			break
+		}
+		time.Sleep(retryInterval)
+	}
+	k.mu.Lock()
+	if k.jobs[x.id] != x || x.record.GetState() == wire.KeptJob_cancelled {
+		k.mu.Unlock()
+		return
+	}
+	if revision != 0 && record.GetState() == wire.KeptJob_open && record.GetHolder() == holder {
+		// Nobody else changed it.
+		x.revision = revision
+		k.flush(x)
+		k.mu.Unlock()
+		return
+	}
+	cancelled := record.GetState() == wire.KeptJob_cancelled
+	safe := append(x.pending, x.ends...)
+	x.pending, x.ends = nil, nil
+	if cancelled {
+		x.record, x.stored, x.revision = record, record.GetState(), revision
+		time.AfterFunc(retention, func() { k.remove(x) })
+	} else {
+		delete(k.jobs, x.id)
+	}
+	k.mu.Unlock()
+	k.Log.Info().Str("job", x.id).Bool("cancelled", cancelled).Str("holder", record.GetHolder()).Msg("job_changed_elsewhere")
+	k.Jobs.Release(x.id)
+	if cancelled {
+		k.Jobs.Safe(safe)
+	}
+}
