Exchange frequent frames only with near peers and where there is work

Cause: the processor time of the fleet grows with the square of the number of entries. A profile of 47 entries on 372 stand-in upstreams (one process, 10 s) shows 5.5 of some 9.7 s of an idle fleet in frames between entries: each writes one to each other every 100 ms, and each change of an upstream goes to all. Ruled out: system calls of the store's watches (1.8 s) and the collector (0.6 s) as the larger part. Change: peers of the same failure domain (all peers in fleets of up to 12) stay on heartbeats of 100 ms and get changes at once; the others exchange a frame a second until one of them has a message or a run for the other. Each frame promises when the next one comes, and the first message to an idle peer asks for frequent ones, so silence is noticed within 350 ms of it. A new claim on an upstream still goes to everybody at once. Frames for states are bounded by the entry's cores. A job takes near upstreams first, far ones only for what they lack, in an order that differs between entries, and of 8 far peers at a time. Passes survey the whole fleet every 100 ms and take at most a fifth of the time.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -110,10 +110,14 @@
 	// startedCores the cores that they reserve.
 	startedWork  decayingRate
 	startedCores decayingRate
-	// snapshots are the snapshots of the last pass by service, taken at
-	// snapshotsAt.
+	// near holds the names of the near peers: those that tell this entry at once of
+	// each change of their upstreams.
+	near map[string]bool
+	// snapshots are the snapshots of the last pass by service, fleetSeenAt the time
+	// at which their parts about the whole fleet were updated; zero if they must be
+	// updated in the next pass.
 	snapshots   map[string]*snapshot
-	snapshotsAt time.Time
+	fleetSeenAt time.Time
 	// startRate is the work that this entry can start, in core-seconds per
 	// second: what it started recently, or its share of the fleet if that is
 	// more.
@@ -145,7 +149,7 @@
 
 // Run places waiting tasks until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	var last time.Time
+	var earliest time.Time
 	t, second := time.NewTimer(0), time.NewTicker(time.Second)
 	defer t.Stop()
 	defer second.Stop()
@@ -156,18 +160,27 @@
 			c.reportSuppressed()
 			continue
 		case <-c.wake:
-			// One pass handles all events within minPassInterval.
-			if gap := time.Until(last.Add(minPassInterval)); gap > 0 {
+			// One pass handles all events until the next one is allowed.
+			if gap := time.Until(earliest); gap > 0 {
 				t.Reset(gap)
 				continue
 			}
 		case <-t.C:
 		}
-		last = time.Now()
-		t.Reset(c.Pass(last))
+		began := time.Now()
+		t.Reset(c.Pass(began))
+		earliest = nextPassAllowed(began, time.Now())
 	}
 }
 
+// nextPassAllowed returns the earliest time of the pass after one of the given
+// duration, such that passes take at most maxPassShare of the time also on a slow
+// or busy VM.
+func nextPassAllowed(began, ended time.Time) time.Time {
+	gap := time.Duration(float64(ended.Sub(began)) / maxPassShare)
+	return began.Add(min(max(gap, minPassInterval), maxPassGap))
+}
+
 // Wake makes Run start a pass soon.
 func (c *Coordinator) Wake() {
 	select {
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"radishweir.org/lib/packer"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
@@ -26,6 +28,14 @@
 // the upstream of a kept job's run at a silent peer still exists.
 const keptRecheckInterval = 500 * time.Millisecond
 
+const (
+	// maxFarPeers is the maximum number of far peers whose upstreams this entry uses
+	// at a time; it bounds the frames of one entry whatever the number of entries.
+	maxFarPeers = 8
+	// farPeerPeriod is how long a peer counts as used after a task was sent to it.
+	farPeerPeriod = 2 * time.Second
+)
+
 // upstreamState is what this entry knows of an upstream.
 type upstreamState struct {
 	runner.Upstream
@@ -69,6 +79,9 @@
 	lastNumber uint64
 	// inFlight are the requests that the peer has not received yet, by number.
 	inFlight []sentRequest
+	// usedUntil is the end of the time in which the peer counts as used by this
+	// entry's tasks.
+	usedUntil time.Time
 }
 
 // removeReceived removes the requests up to the given number, which the peer
@@ -82,18 +95,13 @@
 	l.inFlight = l.inFlight[n:]
 }
 
-// candidates lists the upstreams on which up to n tasks of a job's step may start
-// now such that the whole job is expected to end within the given time. The result
-// is valid until the next call.
-func (c *Coordinator) candidates(j *job, step int, avoid map[string]bool, n int, remaining time.Duration) []packer.Candidate {
+// candidates appends to list those of the upstreams on which up to n tasks of a
+// job's step may start now such that the whole job is expected to end within the
+// given time.
+func (c *Coordinator) candidates(list []packer.Candidate, upstreams []*upstreamState, j *job, step int, avoid map[string]bool, n int, remaining time.Duration) []packer.Candidate {
 	st := &j.Steps[step]
 	remaining -= j.timeToEnd[step] - st.expected()
-	list := c.candidateBuf[:0]
-	snap := c.snapshots[j.Service]
-	if snap == nil {
-		return nil
-	}
-	for _, s := range snap.withCapacity {
+	for _, s := range upstreams {
 		if avoid[s.Name] {
 			continue
 		}
@@ -111,16 +119,74 @@
 		if s.available().Copies(st.Need, limit) <= 0 {
 			continue
 		}
-		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, SameDomain: s.Domain == c.Domain}
+		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
 		if st.MaxPerUpstream > 0 {
 			a.MaxTasks = limit
 		}
 		list = append(list, a)
 	}
-	c.candidateBuf = list
 	return list
 }
 
+// rank returns the rank of an upstream among candidates: near ones first, far ones
+// in an order that differs between entries. What entries know of far upstreams is
+// old, and they would all choose the same ones otherwise.
+func (c *Coordinator) rank(s *upstreamState) uint64 {
+	if c.isNear(s.owner) {
+		return 0
+	}
+	return max(xxhash.Sum64String(c.Self+"/"+s.Name), 1)
+}
+
+// reachableFar returns the far upstreams that new tasks may use. Tasks in progress
+// make two entries exchange frames often, so only maxFarPeers peers are used at a
+// time.
+func (c *Coordinator) reachableFar(v *snapshot) []*upstreamState {
+	now, used := time.Now(), 0
+	for name, l := range c.peers {
+		if !c.near[name] && now.Before(l.usedUntil) {
+			used++
+		}
+	}
+	if used < maxFarPeers {
+		return v.far
+	}
+	out := make([]*upstreamState, 0, len(v.far))
+	for _, s := range v.far {
+		if l := c.peers[s.owner]; l != nil && now.Before(l.usedUntil) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// isNear reports whether changes of the upstreams of an entry are known at once:
+// it is this entry or a near peer.
+func (c *Coordinator) isNear(owner string) bool { return owner == c.Self || c.near[owner] }
+
+// SetNear sets which peers are near.
+func (c *Coordinator) SetNear(names map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.near = names
+	c.fleetSeenAt = time.Time{}
+}
+
+// HasRunsAt reports whether a peer owns upstreams on which tasks of this entry's
+// jobs are placed.
+func (c *Coordinator) HasRunsAt(peer string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.placed && t.owner == peer {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // usable reports whether new runs may be sent to an upstream.
 func (c *Coordinator) usable(s *upstreamState) bool {
 	if !s.stateKnown || !s.usable || s.Leaving || !s.unlistedSince.IsZero() {
@@ -197,6 +263,7 @@
 		}
 	}
 	c.upstreams, c.services = upstreams, services
+	c.fleetSeenAt = time.Time{}
 	c.mu.Unlock()
 	c.Wake()
 }
@@ -242,6 +309,7 @@
 	}
 	var out []message
 	if len(newOwner) > 0 {
+		c.fleetSeenAt = time.Time{}
 		out = c.reattach(func(t *task) bool { return newOwner[t.upstream] })
 	}
 	waiting := len(c.waiting) > 0 || c.coresForStarted() > 0
@@ -267,6 +335,7 @@
 func (c *Coordinator) PeerUp(peer string, session uint64) {
 	c.mu.Lock()
 	c.peers[peer] = &peerState{up: true, session: session}
+	c.fleetSeenAt = time.Time{}
 	out := c.reattach(func(t *task) bool { return t.owner == peer })
 	c.mu.Unlock()
 	c.send(out)
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -21,6 +21,10 @@
 	// minPassInterval is the shortest time between two passes; a small part of the
 	// round trip to an upstream, and of the duration of a pass on a slow VM.
 	minPassInterval = 2 * time.Millisecond
+	// maxPassShare is the largest share of the time that passes may take, unless
+	// maxPassGap has gone by since the last one.
+	maxPassShare = 0.2
+	maxPassGap   = 40 * time.Millisecond
 	// startMargin covers the round trip of an order to an upstream.
 	startMargin = 5 * time.Millisecond
 	// runNumberGap is added to the number of a task's last run after an upstream
@@ -113,16 +117,16 @@
 			if t.stepIndex == fullStep {
 				continue
 			}
-			candidates := c.candidates(j, t.stepIndex, t.avoid, 1, remaining)
-			if len(candidates) == 0 {
-				candidates = c.candidates(j, t.stepIndex, nil, 1, remaining)
+			chosen := c.chooseFor(j, t.stepIndex, t.avoid, 1, remaining)
+			if len(chosen) == 0 && len(t.avoid) > 0 {
+				chosen = c.chooseFor(j, t.stepIndex, nil, 1, remaining)
 			}
-			if len(candidates) == 0 {
+			if len(chosen) == 0 {
 				// The other tasks of this step are equal, so they don't fit either.
 				fullStep = t.stepIndex
 				continue
 			}
-			out = append(out, c.place([]*task{t}, packer.Pack(1, t.step().Need, candidates), now)...)
+			out = append(out, c.place([]*task{t}, chosen, now)...)
 		}
 	}
 	return out
@@ -153,7 +157,7 @@
 		}
 		tasks := tasksOfFirstStep(j.waitingTasks())
 		chosen := c.chooseUpstreams(j, tasks, remaining, now)
-		if chosen == nil {
+		if len(chosen) == 0 {
 			ahead += workOf(&j.Job)
 			wait := time.Duration(ahead / rate * float64(time.Second))
 			if !j.kept() && wait.Seconds() > maxWaitRatio*(remaining-c.shortestTimeToEnd(j)).Seconds() {
@@ -189,12 +193,8 @@
 		return nil
 	}
 	st := tasks[0].step()
-	candidates := c.candidates(j, tasks[0].stepIndex, nil, len(tasks), remaining)
-	if len(candidates) == 0 {
-		return nil
-	}
-	chosen := packer.Pack(len(tasks), st.Need, candidates)
-	if len(chosen) == len(tasks) {
+	chosen := c.chooseFor(j, tasks[0].stepIndex, nil, len(tasks), remaining)
+	if len(chosen) == 0 || len(chosen) == len(tasks) {
 		return chosen
 	}
 	missingCores := c.coresForStarted() + float64(len(tasks)-len(chosen))*float64(st.Need.CPU)/1000
@@ -205,6 +205,24 @@
 	return chosen
 }
 
+// chooseFor returns upstreams for up to n tasks of a job's step. Far upstreams are
+// considered only if the near ones do not suffice.
+func (c *Coordinator) chooseFor(j *job, step int, avoid map[string]bool, n int, remaining time.Duration) []string {
+	v := c.snapshots[j.Service]
+	if v == nil {
+		return nil
+	}
+	need := j.Steps[step].Need
+	list := c.candidates(c.candidateBuf[:0], v.near, j, step, avoid, n, remaining)
+	chosen := packer.Pack(n, need, list)
+	if len(chosen) < n && len(v.far) > 0 {
+		list = c.candidates(list, c.reachableFar(v), j, step, avoid, n, remaining)
+		chosen = packer.Pack(n, need, list)
+	}
+	c.candidateBuf = list
+	return chosen
+}
+
 // coresForStarted returns the cores that the waiting tasks of started jobs need.
 func (c *Coordinator) coresForStarted() float64 {
 	sum := 0.0
@@ -228,6 +246,9 @@
 		j, st := t.job, t.step()
 		t.run++
 		t.upstream, t.owner, t.placed = name, s.owner, true
+		if l := c.peers[s.owner]; l != nil {
+			l.usedUntil = now.Add(farPeerPeriod)
+		}
 		j.placed++
 		c.startedWork.add(now, st.work()/float64(st.Tasks))
 		c.startedCores.add(now, float64(st.Need.CPU)/1000)
--- a/lib/coordinator/snapshot.go
+++ b/lib/coordinator/snapshot.go
@@ -6,6 +6,9 @@
 	"radishweir.org/lib/packer"
 )
 
+// fleetInterval is the time between two surveys of the whole fleet.
+const fleetInterval = 100 * time.Millisecond
+
 // snapshot holds the state of a service's upstreams at the start of a pass. Thus a
 // pass examines every upstream once, however many jobs wait.
 type snapshot struct {
@@ -13,8 +16,15 @@
 	// itself; any is true if there are such tasks.
 	minNeed packer.Amount
 	any     bool
-	// withCapacity are the usable upstreams with enough free capacity for minNeed.
-	withCapacity []*upstreamState
+	// near are the usable upstreams of this entry and its near peers with enough
+	// free capacity for minNeed, far those of the other peers.
+	near []*upstreamState
+	far  []*upstreamState
+	// nearUpstreams are all upstreams of this entry and its near peers, farUsable the
+	// usable ones of the other peers, both as of fleetSeenAt and whatever their free
+	// capacity.
+	nearUpstreams []*upstreamState
+	farUsable     []*upstreamState
 	// minSlowness holds the lowest slowness of the usable upstreams of each capacity.
 	// It is a list, as there are few different capacities.
 	minSlowness []capacitySlowness
@@ -37,10 +47,8 @@
 	v.minSlowness = append(v.minSlowness, capacitySlowness{s.Capacity, s.slowness})
 }
 
-// takeSnapshots takes the snapshots of all services and updates startRate; the
-// caller holds the lock.
+// takeSnapshots takes the snapshots of all services; the caller holds the lock.
 func (c *Coordinator) takeSnapshots(now time.Time) {
-	cores, entries := 0.0, 1
 	if c.snapshots == nil {
 		c.snapshots = make(map[string]*snapshot)
 	}
@@ -50,45 +58,58 @@
 			v = &snapshot{}
 			c.snapshots[name] = v
 		}
-		v.withCapacity, v.any = v.withCapacity[:0], false
+		v.near, v.far, v.any = v.near[:0], v.far[:0], false
+	}
+	for name := range c.snapshots {
+		if c.services[name] == nil {
+			delete(c.snapshots, name)
+		}
 	}
-	anyWaiting := false
 	for _, j := range c.jobs {
 		v := c.snapshots[j.Service]
 		if v == nil || !j.hasWaitingTasks() {
 			continue
 		}
-		anyWaiting = true
 		for s := range j.Steps {
 			if j.remaining[s] > 0 && j.ready(s) {
 				v.addNeed(j.Steps[s].Need)
 			}
 		}
 	}
-	if !anyWaiting && now.Sub(c.snapshotsAt) < maxPassInterval {
-		// No tasks wait, and the rate changes slowly.
-		return
+	if now.Sub(c.fleetSeenAt) >= fleetInterval {
+		c.surveyFleet(now)
+	}
+	for _, v := range c.snapshots {
+		if v.any {
+			c.collectCapacity(v)
+		}
 	}
-	c.snapshotsAt = now
+}
+
+// surveyFleet updates what passes need to know of the whole fleet: startRate and
+// the speeds and far upstreams of the snapshots. It changes slowly, and its cost
+// grows with the fleet, so it isn't done in each pass; the caller holds the lock.
+func (c *Coordinator) surveyFleet(now time.Time) {
+	c.fleetSeenAt = now
+	cores, entries := 0.0, 1
 	for name, list := range c.services {
 		v := c.snapshots[name]
-		v.minSlowness = v.minSlowness[:0]
+		v.minSlowness, v.nearUpstreams, v.farUsable = v.minSlowness[:0], v.nearUpstreams[:0], v.farUsable[:0]
 		for _, s := range list {
+			near := c.isNear(s.owner)
+			if near {
+				v.nearUpstreams = append(v.nearUpstreams, s)
+			}
 			if !c.usable(s) {
 				continue
 			}
 			cores += float64(s.Capacity.CPU) / 1000
 			v.addUpstream(s)
-			if v.any && s.available().Holds(v.minNeed) {
-				v.withCapacity = append(v.withCapacity, s)
+			if !near {
+				v.farUsable = append(v.farUsable, s)
 			}
 		}
 	}
-	for name := range c.snapshots {
-		if c.services[name] == nil {
-			delete(c.snapshots, name)
-		}
-	}
 	for _, l := range c.peers {
 		if l.up {
 			entries++
@@ -97,6 +118,21 @@
 	c.startRate = max(c.startedWork.rate(now), packingShare*cores/float64(entries), minStartRate)
 }
 
+// collectCapacity collects the usable upstreams with enough free capacity for the
+// smallest task that waits; the caller holds the lock.
+func (c *Coordinator) collectCapacity(v *snapshot) {
+	for _, s := range v.nearUpstreams {
+		if s.available().Holds(v.minNeed) && c.usable(s) {
+			v.near = append(v.near, s)
+		}
+	}
+	for _, s := range v.farUsable {
+		if s.available().Holds(v.minNeed) && c.usable(s) {
+			v.far = append(v.far, s)
+		}
+	}
+}
+
 // addNeed lowers minNeed to the need of a task that waits.
 func (v *snapshot) addNeed(a packer.Amount) {
 	if !v.any {
--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -3,8 +3,15 @@
 // Each entry dials each peer once and only writes to that connection; it
 // receives the peer's frames on the connection that the peer dialled. Messages
 // queued at the same time are sent in one frame. A peer is up while both
-// directions work. An entry sends a frame or a heartbeat at least every
-// heartbeatInterval, so a silent connection is detected within SilenceLimit.
+// directions work.
+//
+// Near peers, and peers with which this entry has work in progress, exchange a
+// frame at least every heartbeatInterval, so that a silent connection is detected
+// within SilenceLimit. The other peers, whose number grows with the fleet, exchange
+// one every idleInterval. Each frame promises when the next one comes at the
+// latest. The first message to an idle peer asks it for frequent frames, so its
+// silence is detected within SilenceLimit of that message.
+//
 // Each frame carries the session in which its sender receives frames from the
 // other side, so both sides detect a failure of only one direction. Messages
 // that are queued when a connection breaks are dropped; the handler learns of
@@ -15,7 +22,7 @@
 //	m := &messenger.Messenger{Name: "entry-1", Address: "127.0.0.1:7100", Handler: h, Log: log}
 //	err := m.Listen()
 //	go m.Run(ctx)
-//	m.SetPeers(ctx, map[string]string{"entry-2": "127.0.0.1:7101"})
+//	m.SetPeers(ctx, map[string]messenger.Peer{"entry-2": {Address: "127.0.0.1:7101", Near: true}})
 //	m.Send("entry-2", func(f *wire.PeerFrame) { f.Ends = append(f.Ends, e) })
 package messenger
 
@@ -23,6 +30,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,7 +40,8 @@
 )
 
 const (
-	// heartbeatInterval is the maximum time between two frames.
+	// heartbeatInterval is the maximum time between two frames to a peer that must
+	// notice this entry's silence at once.
 	heartbeatInterval = 100 * time.Millisecond
 	// SilenceLimit is the time without a frame after which a peer counts as
 	// down. It tolerates two missed heartbeats, as happen on a slow VM.
@@ -41,13 +50,6 @@
 	dialTimeout = 300 * time.Millisecond
 	// redialInterval is the pause before the next attempt to dial or accept.
 	redialInterval = 100 * time.Millisecond
-	// stateDelay is how long upstream state changes are batched before they are
-	// sent. Each peer beyond stateDelayBasePeers adds stateDelayPerPeer, so that
-	// the cost of publishing stays bounded whatever the number of entries.
-	// Run requests and reports of ended runs are not delayed.
-	stateDelay          = 3 * time.Millisecond
-	stateDelayPerPeer   = time.Millisecond
-	stateDelayBasePeers = 8
 	// forgetAfter is how long a peer that is no longer registered is still
 	// dialled: the peer may be running and have lost only its connection to the
 	// store.
@@ -70,6 +72,17 @@
 	// sent: the states of the given upstreams, or of all owned upstreams if
 	// f.Whole is set.
 	Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool)
+	// Linked reports whether runs link this entry and a peer: each would have to
+	// notice the other's silence at once.
+	Linked(peer string) bool
+}
+
+// Peer is a registered entry.
+type Peer struct {
+	// Address is its IP address and port.
+	Address string
+	// Near is true for a peer that always gets frequent frames.
+	Near bool
 }
 
 // Messenger connects this entry to its peers. The exported fields must be set
@@ -81,13 +94,19 @@
 	// Address is the IP address and port to listen on.
 	Address string
 	Handler Handler
+	// StateFrames is the number of frames per second, to all peers together, that
+	// may be sent only for states of upstreams; 0 means no limit.
+	StateFrames float64
 	// Log receives the log events.
 	Log zerolog.Logger
 
 	listener net.Listener
-	mu       sync.Mutex
-	peers    map[string]*peer
-	incoming map[string]*incoming
+	// stateDelay is the time in nanoseconds for which changes of upstream states
+	// are batched.
+	stateDelay atomic.Int64
+	mu         sync.Mutex
+	peers      map[string]*peer
+	incoming   map[string]*incoming
 }
 
 // Listen starts to listen on Address.
@@ -109,6 +128,7 @@
 	m.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = m.listener.Close() })
 	defer stop()
+	go m.adjustStateDelay(ctx)
 	for {
 		c, err := m.listener.Accept()
 		if ctx.Err() != nil {
@@ -123,28 +143,30 @@
 	}
 }
 
-// SetPeers sets the registered peers; addresses maps names to addresses. A peer
-// whose address has changed is dialled at the new address. A peer that is no
-// longer registered stays connected while it is up and is dialled for at least
-// forgetAfter. SetPeers must be called after Run has started.
-func (m *Messenger) SetPeers(ctx context.Context, addresses map[string]string) {
+// SetPeers sets the registered peers by name. A peer whose address has changed is
+// dialled at the new address. A peer that is no longer registered stays connected
+// while it is up and is dialled for at least forgetAfter. SetPeers must be called
+// after Run has started.
+func (m *Messenger) SetPeers(ctx context.Context, registered map[string]Peer) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		address, registered := addresses[name]
+		r, found := registered[name]
 		switch {
-		case registered && address == p.address:
+		case found && r.Address == p.address:
 			p.forgetAt = time.Time{}
-		case registered || (!p.forgetAt.IsZero() && now.After(p.forgetAt) && !p.reachable()):
+		case found || (!p.forgetAt.IsZero() && now.After(p.forgetAt) && !p.reachable()):
 			p.cancel()
 			delete(m.peers, name)
 		case p.forgetAt.IsZero():
 			p.forgetAt = now.Add(forgetAfter)
 		}
 	}
-	for name, address := range addresses {
-		m.addPeer(ctx, name, address)
+	for name, r := range registered {
+		if p := m.addPeer(ctx, name, r.Address); p != nil {
+			p.setNear(r.Near)
+		}
 	}
 }
 
@@ -158,7 +180,10 @@
 		m.peers = make(map[string]*peer)
 	}
 	p := &peer{messenger: m, name: name, address: address, wake: make(chan struct{}, 1)}
-	p.incomingUp = m.incoming[name] != nil
+	if in := m.incoming[name]; in != nil {
+		p.incomingUp = true
+		p.adopt(in)
+	}
 	ctx, p.cancel = context.WithCancel(ctx)
 	m.peers[name] = p
 	go p.run(ctx)
@@ -172,18 +197,24 @@
 	return p != nil && p.send(add)
 }
 
-// Publish schedules sending the changed state of an upstream to all peers.
-func (m *Messenger) Publish(upstream string) {
+// Publish schedules sending the changed state of an upstream to all peers. Idle
+// peers get it with their next heartbeat unless it is urgent.
+func (m *Messenger) Publish(upstream string, urgent bool) {
+	peers := m.allPeers()
+	delay := time.Duration(m.stateDelay.Load())
+	for _, p := range peers {
+		p.publish(upstream, delay, urgent)
+	}
+}
+
+func (m *Messenger) allPeers() []*peer {
 	m.mu.Lock()
-	peers := make([]*peer, 0, len(m.peers))
+	defer m.mu.Unlock()
+	out := make([]*peer, 0, len(m.peers))
 	for _, p := range m.peers {
-		peers = append(peers, p)
-	}
-	m.mu.Unlock()
-	delay := stateDelay + time.Duration(max(0, len(peers)-stateDelayBasePeers))*stateDelayPerPeer
-	for _, p := range peers {
-		p.publish(upstream, delay)
+		out = append(out, p)
 	}
+	return out
 }
 
 func (m *Messenger) peer(name string) *peer {
--- a/lib/messenger/messenger_test.go
+++ b/lib/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	mu     sync.Mutex
 	up     map[string]bool
 	frames []*wire.PeerFrame
+	// linked is true while runs link this entry to its peers.
+	linked atomic.Bool
 }
 
 func (h *recordingHandler) Up(peer string, _ uint64) { h.set(peer, true) }
@@ -52,6 +55,8 @@
 	}
 }
 
+func (h *recordingHandler) Linked(string) bool { return h.linked.Load() }
+
 // hasFrame reports whether any received frame matches.
 func (h *recordingHandler) hasFrame(match func(*wire.PeerFrame) bool) bool {
 	h.mu.Lock()
@@ -100,14 +105,14 @@
 	a, ha, _ := startMessenger(t, "a")
 	b, hb, _ := startMessenger(t, "b")
 	// Only a knows b's address; b learns a's from the hello message.
-	a.SetPeers(t.Context(), map[string]string{"b": b.Address})
+	a.SetPeers(t.Context(), map[string]messenger.Peer{"b": {Address: b.Address, Near: true}})
 	eventually(t, "both up", func() bool { return ha.isUp("b") && hb.isUp("a") })
 	for i := range 3 {
 		a.Send("b", func(f *wire.PeerFrame) {
 			f.Requests = append(f.Requests, &wire.RunRequest{Task: strconv.Itoa(i)})
 		})
 	}
-	b.Publish("u1")
+	b.Publish("u1", false)
 	eventually(t, "the last request", func() bool {
 		return hb.hasFrame(func(f *wire.PeerFrame) bool {
 			n := len(f.GetRequests())
@@ -123,7 +128,7 @@
 func TestPeerRestart(t *testing.T) {
 	a, ha, _ := startMessenger(t, "a")
 	b, _, stop := startMessenger(t, "b")
-	a.SetPeers(t.Context(), map[string]string{"b": b.Address})
+	a.SetPeers(t.Context(), map[string]messenger.Peer{"b": {Address: b.Address, Near: true}})
 	eventually(t, "up", func() bool { return ha.isUp("b") })
 	stop()
 	eventually(t, "down", func() bool { return !ha.isUp("b") })
@@ -148,7 +153,7 @@
 	}
 	defer func() { _ = l.Close() }()
 	// The fake peer accepts the connection but does not dial one of its own.
-	a.SetPeers(t.Context(), map[string]string{"deaf": l.Addr().String()})
+	a.SetPeers(t.Context(), map[string]messenger.Peer{"deaf": {Address: l.Addr().String(), Near: true}})
 	c, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -38,6 +38,7 @@
 	changedUpstreams map[string]bool
 	sendAllStates    bool
 	publishScheduled bool
+	pace
 
 	// notifyMu serializes the calls of Handler.Up and Handler.Down. It is locked
 	// before mu.
@@ -57,23 +58,26 @@
 		p.queued = &wire.PeerFrame{}
 	}
 	add(p.queued)
+	p.activate(time.Now())
 	p.wakeWriter()
 	return true
 }
 
 // publish marks the state of an upstream as changed and schedules sending it
-// after the delay.
-func (p *peer) publish(upstream string, delay time.Duration) {
+// after the delay. To an idle peer it is sent with the next heartbeat unless it is
+// urgent.
+func (p *peer) publish(upstream string, delay time.Duration, urgent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.outgoingUp {
 		return
 	}
 	p.changedUpstreams[upstream] = true
-	if !p.publishScheduled {
-		p.publishScheduled = true
-		time.AfterFunc(delay, p.wakeIfChanged)
+	if p.publishScheduled || (!urgent && p.interval(time.Now()) > heartbeatInterval) {
+		return
 	}
+	p.publishScheduled = true
+	time.AfterFunc(max(delay, minStateDelay, p.stateInterval), p.wakeIfChanged)
 }
 
 // wakeIfChanged wakes the writer unless a frame sent in the meantime already
@@ -105,13 +109,14 @@
 	}
 }
 
-// setIncoming records whether the connection that the peer dialled works.
-func (p *peer) setIncoming(in bool) {
+// setIncoming sets the connection that the peer dialled, nil if it broke.
+func (p *peer) setIncoming(in *incoming) {
 	p.notifyMu.Lock()
 	defer p.notifyMu.Unlock()
 	p.mu.Lock()
-	p.incomingUp = in
-	if in {
+	p.incomingUp = in != nil
+	p.adopt(in)
+	if in != nil {
 		p.sendAllStates = true
 	}
 	p.mu.Unlock()
@@ -179,7 +184,7 @@
 		case <-time.After(redialInterval):
 		}
 	}
-	p.setIncoming(false)
+	p.setIncoming(nil)
 }
 
 // connect dials once and writes frames until the connection breaks.
@@ -195,7 +200,7 @@
 	p.setOutgoing(true)
 	defer p.setOutgoing(false)
 	w := bufio.NewWriter(c)
-	hello := &wire.PeerHello{Name: p.messenger.Name, Incarnation: p.messenger.Incarnation, Session: p.session, Address: p.messenger.Address}
+	hello := &wire.PeerHello{Name: p.messenger.Name, Incarnation: p.messenger.Incarnation, Session: p.session, Address: p.messenger.Address, VariableInterval: true}
 	if _, err := protodelim.MarshalTo(w, hello); err != nil {
 		return err
 	}
@@ -203,13 +208,13 @@
 }
 
 // writeFrames writes a frame whenever something is queued, or an empty frame as
-// a heartbeat after heartbeatInterval.
+// a heartbeat when the promised time has passed.
 func (p *peer) writeFrames(ctx context.Context, c net.Conn, w *bufio.Writer) error {
 	t := time.NewTimer(heartbeatInterval)
 	defer t.Stop()
 	for {
-		t.Reset(heartbeatInterval)
-		f := p.nextFrame()
+		f, interval := p.nextFrame()
+		t.Reset(interval)
 		_ = c.SetWriteDeadline(time.Now().Add(SilenceLimit))
 		if _, err := protodelim.MarshalTo(w, f); err != nil {
 			return err
@@ -226,22 +231,28 @@
 	}
 }
 
-// nextFrame returns the queued frame, completed with the changed states, and
-// starts a new one.
-func (p *peer) nextFrame() *wire.PeerFrame {
+// nextFrame returns the queued frame, completed with the changed states, and the
+// time after which the next one must be sent. It starts a new frame.
+func (p *peer) nextFrame() (*wire.PeerFrame, time.Duration) {
+	p.updateActivity()
+	m := p.messenger
 	p.mu.Lock()
 	f, changed := p.queued, p.changedUpstreams
 	if f == nil {
 		f = &wire.PeerFrame{}
 	}
 	f.Whole = p.sendAllStates
+	now := time.Now()
+	interval := p.interval(now)
+	f.NextFrameMs, f.WantsHeartbeats = uint32(interval.Milliseconds()), p.needed(now)
+	f.StateIntervalMs = uint32(time.Duration(m.stateDelay.Load()).Milliseconds())
 	p.queued, p.changedUpstreams, p.sendAllStates, p.publishScheduled = nil, make(map[string]bool), false, false
 	p.mu.Unlock()
 	// The request count is read before the upstream states, so that the states
 	// reflect every request that is counted.
-	f.Taken, f.TakenSession = p.messenger.requestsReceived(p.name)
-	p.messenger.Handler.Complete(p.name, f, changed)
-	return f
+	f.Taken, f.TakenSession = m.requestsReceived(p.name)
+	m.Handler.Complete(p.name, f, changed)
+	return f, interval
 }
 
 // setUserTimeout makes the kernel close a connection when sent data stays
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -15,6 +15,9 @@
 type incoming struct {
 	conn    net.Conn
 	session uint64
+	// variableInterval is true if the peer accepts frames at other intervals than
+	// heartbeatInterval.
+	variableInterval bool
 	// requests counts the run requests that the handler has processed.
 	requests uint64
 }
@@ -34,22 +37,21 @@
 		m.Log.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("peer_hello_unreadable")
 		return
 	}
-	in := &incoming{conn: c, session: hello.GetSession()}
+	in := &incoming{conn: c, session: hello.GetSession(), variableInterval: hello.GetVariableInterval()}
 	m.addIncoming(ctx, hello, in)
-	err := m.readFrames(c, r, hello.GetName(), in)
+	err := m.readFrames(r, hello.GetName(), in)
 	m.removeIncoming(hello.GetName(), in, err)
 }
 
 // readFrames passes each received frame to the handler.
-func (m *Messenger) readFrames(c net.Conn, r *bufio.Reader, name string, in *incoming) error {
+func (m *Messenger) readFrames(r *bufio.Reader, name string, in *incoming) error {
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(SilenceLimit))
 		f := &wire.PeerFrame{}
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
 		if p := m.peer(name); p != nil {
-			p.setConfirmedSession(f.GetTakenSession())
+			p.handleReceived(in, f)
 		}
 		m.Handler.Frame(name, f)
 		m.mu.Lock()
@@ -58,6 +60,17 @@
 	}
 }
 
+// handleReceived records that a frame arrived on a connection.
+func (p *peer) handleReceived(in *incoming, f *wire.PeerFrame) {
+	p.mu.Lock()
+	early := p.incoming == in && p.received(f, time.Now())
+	p.mu.Unlock()
+	if early {
+		p.wakeWriter()
+	}
+	p.setConfirmedSession(f.GetTakenSession())
+}
+
 // addIncoming registers a peer's connection, replacing any earlier one, and
 // starts dialling the peer if it was unknown.
 func (m *Messenger) addIncoming(ctx context.Context, hello *wire.PeerHello, in *incoming) {
@@ -70,11 +83,11 @@
 	if old != nil {
 		_ = old.conn.Close()
 		if p != nil {
-			p.setIncoming(false)
+			p.setIncoming(nil)
 		}
 	}
 	if p != nil {
-		p.setIncoming(true)
+		p.setIncoming(in)
 	}
 }
 
@@ -90,7 +103,7 @@
 	m.mu.Unlock()
 	if current && p != nil {
 		m.Log.Info().Str("peer", name).AnErr("cause", err).Msg("peer_silent")
-		p.setIncoming(false)
+		p.setIncoming(nil)
 	}
 }
 
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -60,6 +60,8 @@
 	Slowness float64
 	// SameDomain is true if the upstream is in the caller's failure domain.
 	SameDomain bool
+	// Rank orders candidates before anything else; lower ranks go first.
+	Rank uint64
 	// MaxTasks limits the tasks that may start on the upstream; 0 for no limit.
 	MaxTasks int
 }
@@ -73,7 +75,7 @@
 
 // Pack returns the names of up to n upstreams, one for each task that needs the
 // given amount; an upstream may be named several times. Upstreams are ordered by
-// speed class, then those in the caller's failure domain come first, then those
+// rank, then by speed class, then those in the caller's failure domain come first, then those
 // with the least CPU left over.
 func Pack(n int, need Amount, candidates []Candidate) []string {
 	out := make([]string, 0, n)
@@ -96,6 +98,9 @@
 // not sort all candidates, as a fleet is large compared to what one job needs.
 func bestCandidates(n int, need Amount, candidates []Candidate) []Candidate {
 	compare := func(a, b Candidate) int {
+		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(a.speedClass(), b.speedClass()); c != 0 {
 			return c
 		}
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -352,6 +352,18 @@
 	}
 }
 
+// hasRunsOf reports whether there are runs of a requester.
+func (h *ownedUpstream) hasRunsOf(requester string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.runs {
+		if r.requester == requester {
+			return true
+		}
+	}
+	return false
+}
+
 // cancelRunsOf stops all runs of one requester.
 func (h *ownedUpstream) cancelRunsOf(ctx context.Context, requester string) {
 	h.mu.Lock()
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -224,6 +224,16 @@
 	}
 }
 
+// HasRunsOf reports whether there are runs of a requester.
+func (r *Runner) HasRunsOf(requester string) bool {
+	for _, h := range r.ownedUpstreams() {
+		if h.hasRunsOf(requester) {
+			return true
+		}
+	}
+	return false
+}
+
 // States describes all owned upstreams.
 func (r *Runner) States() []*wire.UpstreamState {
 	list := r.ownedUpstreams()
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -59,6 +59,9 @@
 	// VM's memory. Near the limit the garbage collector runs more often. The rest
 	// is left to kernel buffers.
 	memoryLimitPercent = 70
+	// stateFramesPerCore is the number of frames per second and core that may be
+	// sent only for states of upstreams; they take about a tenth of the processor.
+	stateFramesPerCore = 2000
 	// cancelDelay is the time after which the runs of an unreachable peer are
 	// canceled. A connection that was only reset is re-established by then.
 	cancelDelay = 150 * time.Millisecond
@@ -96,6 +99,8 @@
 	draining  atomic.Bool
 	closing   atomic.Bool
 	downSince sync.Map
+	// claims holds, by upstream, the token of the last published state.
+	claims sync.Map
 	// keptJobsExist is true once this entry knows that kept jobs exist on any
 	// entry. A kept job is a durable job whose record is in the platform's store
 	// from acceptance to end.
@@ -134,6 +139,7 @@
 	e.runner = &runner.Runner{Client: &adapter.UpstreamClient{Counter: rec}, Ended: e.reportRunEnd, Changed: e.publishState, Observer: rec, Log: e.Log}
 	e.messenger = &messenger.Messenger{
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
+		StateFrames: e.cores() * stateFramesPerCore,
 	}
 	e.coordinator = &coordinator.Coordinator{
 		Self: e.Name, Domain: e.FailureDomain, PeerTimeout: messenger.SilenceLimit, FarFactor: e.farFactor(),
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -4,10 +4,15 @@
 	"time"
 
 	"radishweir.org/lib/divider"
+	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
 )
 
+// smallFleet is the number of entries up to which all of them are near each other.
+// In larger fleets only those of one failure domain are.
+const smallFleet = 12
+
 // assignUpstreams recomputes which entry owns which upstream.
 func (e *Entry) assignUpstreams() {
 	e.assignMu.Lock()
@@ -17,10 +22,11 @@
 	}
 	registrations, token := e.enroller.Members()
 	var members []divider.Member
-	addresses := make(map[string]string)
+	peers, near := make(map[string]messenger.Peer), make(map[string]bool)
 	for _, r := range registrations {
 		members = append(members, divider.Member{Name: r.GetName(), Domain: r.GetFailureDomain(), Weight: int(r.GetWeight())})
-		addresses[r.GetName()] = r.GetEntryAddress()
+		near[r.GetName()] = len(registrations) <= smallFleet || r.GetFailureDomain() == e.FailureDomain
+		peers[r.GetName()] = messenger.Peer{Address: r.GetEntryAddress(), Near: near[r.GetName()]}
 	}
 	list := e.roster.Upstreams()
 	var owned []runner.Upstream
@@ -36,17 +42,26 @@
 			owned = append(owned, *u)
 		}
 	}
-	e.messenger.SetPeers(e.ctx, addresses)
+	e.coordinator.SetNear(near)
+	e.messenger.SetPeers(e.ctx, peers)
 	e.runner.SetOwned(e.ctx, token, owned)
 	e.coordinator.SetUpstreams(list)
 	e.coordinator.UpdateStates(e.Name, true, e.runner.States())
 }
 
 // publishState passes the new state of an upstream of this entry to the
-// coordinator and to all peers.
+// coordinator and to all peers. A new claim is urgent: it makes the entries with
+// runs on the upstream ask this entry for them.
 func (e *Entry) publishState(name string) {
-	e.coordinator.UpdateStates(e.Name, false, []*wire.UpstreamState{e.runner.State(name)})
-	e.messenger.Publish(name)
+	s := e.runner.State(name)
+	e.coordinator.UpdateStates(e.Name, false, []*wire.UpstreamState{s})
+	claimed, known := e.claims.Swap(name, s.GetToken())
+	e.messenger.Publish(name, s.GetToken() != 0 && (!known || claimed != s.GetToken()))
+}
+
+// Linked implements messenger.Handler.
+func (e *Entry) Linked(peer string) bool {
+	return e.coordinator.HasRunsAt(peer) || e.runner.HasRunsOf(peer)
 }
 
 // reportRunEnd reports the end of a run to its requester.
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -122,6 +122,12 @@
 // weight returns the weight of this entry in the division of the upstreams among
 // the entries.
 func (s *Settings) weight() uint32 {
-	cores, _ := strconv.ParseFloat(s.Cores, 64)
-	return uint32(max(1, math.Round(cores*weightPerCore)))
+	return uint32(max(1, math.Round(s.cores()*weightPerCore)))
+}
+
+// cores returns the share of a core that this entry may use.
+func (s *Settings) cores() float64 {
+	// LoadSettings has already checked the value.
+	n, _ := strconv.ParseFloat(s.Cores, 64)
+	return n
 }
