Prefer the entry's own upstreams only among equally fast ones

Change: an entry's own upstreams go first within a speed class.

Conclusion: speed goes before proximity among near upstreams.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -113,8 +113,6 @@
 	// near holds the names of the near peers: those that tell this entry at once of
 	// each change of their upstreams.
 	near map[string]bool
-	// preferOwn is true while there are peers that are not near.
-	preferOwn bool
 	// snapshots are the snapshots of the last pass by service, fleetSeenAt the time
 	// at which their parts about the whole fleet were updated; zero if they must be
 	// updated in the next pass.
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -119,7 +119,7 @@
 		if s.available().Copies(st.Need, limit) <= 0 {
 			continue
 		}
-		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
+		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
 		if st.MaxPerUpstream > 0 {
 			a.MaxTasks = limit
 		}
@@ -130,17 +130,12 @@
 
 // rank returns the rank of an upstream among candidates: near ones first, far ones
 // last and in an order that differs between entries. What entries know of far upstreams is
-// old, and they would all choose the same ones otherwise. In a fleet with far peers
-// the upstreams of this entry go before those of near peers, as they need no
-// messages among entries.
+// old, and they would all choose the same ones otherwise.
 func (c *Coordinator) rank(s *upstreamState) uint64 {
-	switch {
-	case s.owner == c.Self || (c.near[s.owner] && !c.preferOwn):
+	if c.isNear(s.owner) {
 		return 0
-	case c.near[s.owner]:
-		return 1
 	}
-	return max(xxhash.Sum64String(c.Self+"/"+s.Name), 2)
+	return max(xxhash.Sum64String(c.Self+"/"+s.Name), 1)
 }
 
 // reachableFar returns the far upstreams that new tasks may use. Tasks in progress
@@ -173,10 +168,7 @@
 func (c *Coordinator) SetNear(names map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.near, c.preferOwn = names, false
-	for _, near := range names {
-		c.preferOwn = c.preferOwn || !near
-	}
+	c.near = names
 	c.fleetSeenAt = time.Time{}
 }
 
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -58,6 +58,9 @@
 	Free Amount
 	// Slowness is the run time on this upstream divided by that on an average one.
 	Slowness float64
+	// Own is true if the caller orders the upstream itself, without messages to other
+	// entries.
+	Own bool
 	// SameDomain is true if the upstream is in the caller's failure domain.
 	SameDomain bool
 	// Rank orders candidates before anything else; lower ranks go first.
@@ -75,8 +78,8 @@
 
 // Pack returns the names of up to n upstreams, one for each task that needs the
 // given amount; an upstream may be named several times. Upstreams are ordered by
-// rank, then by speed class, then those in the caller's failure domain come first, then those
-// with the least CPU left over.
+// rank, then by speed class, then the caller's own ones come first, then those in
+// its failure domain, then those with the least CPU left over.
 func Pack(n int, need Amount, candidates []Candidate) []string {
 	out := make([]string, 0, n)
 	for _, c := range bestCandidates(n, need, candidates) {
@@ -104,7 +107,7 @@
 		if c := cmp.Compare(a.speedClass(), b.speedClass()); c != 0 {
 			return c
 		}
-		if c := cmp.Compare(domainOrder(a), domainOrder(b)); c != 0 {
+		if c := cmp.Compare(distance(a), distance(b)); c != 0 {
 			return c
 		}
 		if c := cmp.Compare(leftoverCPU(a, need), leftoverCPU(b, need)); c != 0 {
@@ -124,13 +127,16 @@
 	return out
 }
 
-// domainOrder returns a sort key that puts candidates in the caller's failure domain
-// first.
-func domainOrder(c Candidate) int {
-	if c.SameDomain {
+// distance returns a sort key that puts the caller's own candidates first, then
+// those in its failure domain.
+func distance(c Candidate) int {
+	switch {
+	case c.Own:
 		return 0
+	case c.SameDomain:
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // leftoverCPU returns the CPU that stays unused after as many tasks as the free CPU
