Relay the list of upstreams within a failure domain

Cause: each entry watched the renewals of all upstreams, 245 events a second at 370 upstreams. Change: in fleets of more than 12 entries two entries of each failure domain read the list; they pass on what changes, with its age, in the frames that they send anyway. A follower without a list of under 2 s reads the store itself. A list never goes back: a source with an older one isn't taken until it has caught up.

--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -35,6 +35,9 @@
 	Decode func(key string, value []byte) (runner.Upstream, error)
 	// Changed is called after the list changed.
 	Changed func()
+	// Relay is called after each update with the events that changed the store's
+	// list, and in their order; nil if nobody needs them.
+	Relay func(watcher.Update)
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -52,11 +55,19 @@
 		time.AfterFunc(outageGrace, func() { r.Changed() })
 	}
 	changed := u.Reset
+	relayed := watcher.Update{Reset: u.Reset, Regressed: u.Regressed, Revision: u.Revision}
 	for _, e := range u.Events {
-		changed = r.apply(e, now) || changed
+		c := r.apply(e, now)
+		if c || u.Reset || e.Deleted {
+			relayed.Events = append(relayed.Events, e)
+		}
+		changed = c || changed
 	}
 	r.updatedAt = now
 	r.mu.Unlock()
+	if r.Relay != nil && (u.Reset || len(relayed.Events) > 0) {
+		r.Relay(relayed)
+	}
 	if changed {
 		r.Changed()
 	}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -33,6 +33,7 @@
 	"radishweir.org/lib/operator"
 	"radishweir.org/lib/platform"
 	"radishweir.org/lib/recorder"
+	"radishweir.org/lib/relayer"
 	"radishweir.org/lib/roster"
 	"radishweir.org/lib/router"
 	"radishweir.org/lib/runner"
@@ -88,6 +89,7 @@
 	messenger       *messenger.Messenger
 	committer       *committer.Committer
 	keeper          *keeper.Keeper
+	relayer         *relayer.Relayer
 	watchers        []*watcher.Watcher
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -151,14 +153,19 @@
 func (e *Entry) buildMembership() {
 	e.enroller = &enroller.Enroller{Self: e.self, Store: e.store, Changed: e.assignUpstreams, Log: e.Log}
 	e.roster = &roster.Roster{Decode: (&adapter.UpstreamDecoder{}).Decode, Changed: e.assignUpstreams, Log: e.Log}
-	follow := func(prefix string, pace time.Duration, apply func(watcher.Update)) {
+	watch := func(prefix string, pace time.Duration, apply func(watcher.Update)) *watcher.Watcher {
 		w := &watcher.Watcher{Store: e.store, Prefix: prefix, Pace: pace, LongestBackoff: longestBackoff, Log: e.Log}
 		w.On(prefix, apply)
-		e.watchers = append(e.watchers, w)
+		return w
 	}
-	follow(platform.EntryPrefix, 0, e.enroller.Apply)
-	follow(adapter.ConfigurationKey, 0, e.applyConfiguration)
-	follow(adapter.UpstreamPrefix, upstreamPace, e.roster.Apply)
+	e.watchers = []*watcher.Watcher{
+		watch(platform.EntryPrefix, 0, e.enroller.Apply),
+		watch(adapter.ConfigurationKey, 0, e.applyConfiguration),
+	}
+	e.relayer = &relayer.Relayer{Self: e.Name, Apply: e.roster.Apply, Log: e.Log}
+	e.roster.Relay = e.relayer.Relay
+	w := watch(adapter.UpstreamPrefix, upstreamPace, e.relayer.FromStore)
+	e.relayer.Read, e.relayer.ReadAt = w.Run, w.Heard
 }
 
 // buildServers builds the servers for callers, the load balancer and operators.
@@ -213,6 +220,7 @@
 	for _, w := range e.watchers {
 		work.Go(func() { w.Run(ctx) })
 	}
+	work.Go(func() { e.relayer.Run(ctx) })
 	work.Go(func() { e.enroller.Run(ctx) })
 	work.Go(func() { e.coordinator.Run(ctx) })
 	work.Go(func() { e.committer.Run(ctx) })
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -1,6 +1,8 @@
 package composer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"radishweir.org/lib/divider"
@@ -13,6 +15,11 @@
 // In larger fleets only those of one failure domain are.
 const smallFleet = 12
 
+// listReadersPerDomain is the number of entries of a failure domain that read the
+// list of upstreams from the store, so that the loss of one does not make all
+// others read it.
+const listReadersPerDomain = 2
+
 // assignUpstreams recomputes which entry owns which upstream.
 func (e *Entry) assignUpstreams() {
 	e.assignMu.Lock()
@@ -44,11 +51,35 @@
 	}
 	e.coordinator.SetNear(near)
 	e.messenger.SetPeers(e.ctx, peers)
+	e.relayer.SetReaders(e.listReaders(registrations))
 	e.runner.SetOwned(e.ctx, token, owned)
 	e.coordinator.SetUpstreams(list)
 	e.coordinator.UpdateStates(e.Name, true, e.runner.States())
 }
 
+// listReaders returns the entries of this failure domain that read the list of
+// upstreams from the store, those with the largest weight first: in a small fleet
+// this entry itself.
+func (e *Entry) listReaders(registrations []*wire.Registration) []string {
+	if len(registrations) <= smallFleet {
+		return []string{e.Name}
+	}
+	var list []*wire.Registration
+	for _, r := range registrations {
+		if r.GetFailureDomain() == e.FailureDomain {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Registration) int {
+		return cmp.Or(cmp.Compare(b.GetWeight(), a.GetWeight()), cmp.Compare(a.GetName(), b.GetName()))
+	})
+	var names []string
+	for _, r := range list[:min(len(list), listReadersPerDomain)] {
+		names = append(names, r.GetName())
+	}
+	return names
+}
+
 // publishState passes the new state of an upstream of this entry to the
 // coordinator and to all peers. A new claim is urgent: it makes the entries with
 // runs on the upstream ask this entry for them.
@@ -77,6 +108,7 @@
 // Up implements messenger.Handler.
 func (e *Entry) Up(peer string, session uint64) {
 	e.downSince.Delete(peer)
+	e.relayer.PeerUp(peer)
 	e.coordinator.PeerUp(peer, session)
 	for _, n := range e.unsentNotices.take(peer) {
 		(*peers)(e).Notify(peer, n.GetJob())
@@ -89,6 +121,7 @@
 	since := time.Now()
 	e.downSince.Store(peer, since)
 	e.coordinator.PeerDown(peer)
+	e.relayer.PeerDown(peer)
 	e.keeper.ResendClaims(peer)
 	time.AfterFunc(cancelDelay, func() {
 		if at, ok := e.downSince.Load(peer); ok && at == since {
@@ -112,11 +145,13 @@
 	for _, end := range f.GetEnds() {
 		e.coordinator.RunEnded(peer, end)
 	}
+	e.relayer.Handle(peer, f)
 	e.handleKeptFields(peer, f)
 }
 
 // Complete implements messenger.Handler.
-func (e *Entry) Complete(_ string, f *wire.PeerFrame, upstreams map[string]bool) {
+func (e *Entry) Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool) {
+	e.relayer.Fill(peer, f)
 	if f.Keeping = e.keptJobsExist.Load(); f.Keeping {
 		f.Pending = e.pending.refresh(e.Name, e.coordinator.Pending)
 	}
