Take no run for lost whose end may not fit into an upstream's list

Cause: an upstream lists at most 500 ends, from the first that isn't acknowledged. One retained end holds back all later ones; with 500 behind it a run that ended was listed neither as running nor as ended, counted as lost and was started again. Ruled out: takeovers as the cause of these (the first task hit was submitted after the last of them) and fencing (no upstream refused its owner then). Change: nothing is concluded from a full list; an upstream gets no new runs while it lists 400 ends; retained ends are sent to their requester every 3 s; ends of unknown jobs are released once the record shows that it does not need them, and never silently dropped; a success reported late is recorded and stops the task's other run; the runs of a kept job go on while its holder is only silent.

--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -104,6 +104,30 @@
 	c.send(out)
 }
 
+// MarkDone marks a task of a kept job as done, after a run that the coordinator no
+// longer waited for has succeeded. The number counts the tasks of all steps. Another
+// run of the task is stopped.
+func (c *Coordinator) MarkDone(id string, number int) {
+	c.mu.Lock()
+	var out []message
+	if j := c.jobs[id]; j != nil && j.kept() && number < len(j.tasks) && !j.tasks[number].done {
+		t := j.tasks[number]
+		if t.placed {
+			t.placed = false
+			j.placed--
+			out = append(out, message{owner: t.owner, cancel: &wire.RunCancel{Upstream: t.upstream, Task: t.name(), Run: t.run}})
+		}
+		j.ran = true
+		j.markDone(t)
+		if j.done == len(j.tasks) {
+			out = append(out, c.endJob(j, Answer{State: Complete})...)
+		}
+	}
+	c.mu.Unlock()
+	c.send(out)
+	c.Wake()
+}
+
 // MayHaveStarted reports whether a task of a job may have been started.
 func (c *Coordinator) MayHaveStarted(id string) bool {
 	c.mu.Lock()
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -70,6 +70,7 @@
 	SubmitKept(j coordinator.Job)
 	Release(id string)
 	ReleaseEnds(list []coordinator.End)
+	MarkDone(id string, number int)
 	MayHaveStarted(id string) bool
 	Refuses(j coordinator.Job) (coordinator.Answer, bool)
 }
--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -315,3 +315,60 @@
 
 // recordKey returns the store key of a job's record.
 func recordKey(id string) string { return platform.Prefix + "jobs/" + id }
+
+// A success that is reported when the job's holder no longer waits for that run is
+// recorded, and the task does not run on.
+func TestLateSuccessIsRecorded(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, 4)
+		defer c.stop()
+		c.fleet.RunTime = func(task string) time.Duration {
+			if task == "a.0.0.0" {
+				return 5 * time.Second
+			}
+			return 50 * time.Millisecond
+		}
+		n := c.alive()[0]
+		if s := n.submit("a", 2); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(300 * time.Millisecond)
+		n.keeper.OrphanedEnd("a", 0, 0, true, n.holder, coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: 0})
+		c.checkJobs([]string{"a"}, nil, 2*time.Second)
+		if s := c.fleet.Starts("a.0.0.0"); s != 1 {
+			t.Errorf("the task was started %d times, want 1", s)
+		}
+	})
+}
+
+// The running work of an entry that was only silent for a second is neither stopped
+// nor started again elsewhere.
+func TestSilentHolderKeepsItsRuns(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 4, 3, 6)
+		defer c.stop()
+		c.fleet.RunTime = func(string) time.Duration { return 2500 * time.Millisecond }
+		n := c.alive()[0]
+		if s := n.submit("a", 6); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, other := range c.alive()[1:] {
+			other.PeerDown(n.name)
+			n.PeerDown(other.name)
+			other.runner.CancelRunsOf(other.ctx, n.name)
+		}
+		time.Sleep(time.Second)
+		for _, other := range c.alive()[1:] {
+			other.PeerUp(n.name, 2)
+			n.PeerUp(other.name, 2)
+			other.runner.ResendEnds(n.name)
+		}
+		c.checkJobs([]string{"a"}, nil, 10*time.Second)
+		for i := range 6 {
+			if s := c.fleet.Starts(fmt.Sprintf("a.0.0.%d", i)); s != 1 {
+				t.Errorf("task %d was started %d times, want 1", i, s)
+			}
+		}
+	})
+}
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -27,9 +27,12 @@
 	// lateWriteDelay is the longest delay after which a write sent by the old
 	// holder can still take effect.
 	lateWriteDelay = 8 * time.Second
-	// orphanRetention is how long ends of runs of unknown jobs are kept.
-	// Takeovers take less time.
-	orphanRetention = 30 * time.Second
+	// settleAfter is the age from which on the record of a job with orphaned ends is
+	// read, to find out whether it needs them, settleInterval the time between two
+	// such checks, and maxSettled the maximum number of records read in one.
+	settleAfter    = 4 * time.Second
+	settleInterval = 2 * time.Second
+	maxSettled     = 8
 	// claimInterval is the time between two checks of the answers to a claim.
 	claimInterval = 50 * time.Millisecond
 	// listTimeout bounds a read of all records.
@@ -44,6 +47,8 @@
 	holder   string
 	end      coordinator.End
 	received time.Time
+	// counted is true for a failed run that the job's record may include already.
+	counted bool
 }
 
 // takeover is a takeover, in progress, of the jobs of one holder.
@@ -66,15 +71,30 @@
 	switch {
 	case j == nil && (holder == "" || holder != k.Identity.Holder()):
 		if !slices.ContainsFunc(k.orphans[id], func(s orphanedEnd) bool { return s.end == e }) {
-			k.orphans[id] = append(k.orphans[id], orphanedEnd{step, index, done, holder, e, time.Now()})
+			k.orphans[id] = append(k.orphans[id], orphanedEnd{step: step, index: index, done: done, holder: holder, end: e, received: time.Now()})
 		}
 	case j != nil && (slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e)):
+	case done && k.recordLateEnd(j, step, index, e):
 	default:
 		// The result is already stored, or the job has ended.
 		go k.Jobs.ReleaseEnds([]coordinator.End{e})
 	}
 }
 
+// recordLateEnd records the success of a run that the coordinator no longer waits
+// for: the end was reported after the job was taken over or the run was taken for
+// lost. It returns false if the job has ended or the task is done already. The
+// caller holds the lock.
+func (k *Keeper) recordLateEnd(j *keptJob, step, index int, e coordinator.End) bool {
+	n, ok := taskNumber(j.record, step, index)
+	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) {
+		return false
+	}
+	k.recordTaskEnd(j, n, true, e)
+	go k.Jobs.MarkDone(j.id, int(n))
+	return true
+}
+
 // TriggerReview makes Run check for open jobs whose holder is gone.
 func (k *Keeper) TriggerReview() {
 	select {
@@ -86,10 +106,15 @@
 // Run takes over the jobs of lost holders until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	reviewed := false
+	settle := time.NewTicker(settleInterval)
+	defer settle.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
+		case <-settle.C:
+			k.settleOrphans(ctx)
+			continue
 		case <-k.review:
 		}
 		// Until kept jobs are known to exist, the read at the start is enough.
@@ -269,14 +294,15 @@
 	ends := k.orphans[id]
 	for _, s := range ends {
 		if n, ok := taskNumber(r, s.step, s.index); ok {
-			j.recordEnd(n, s.done)
+			if s.done || !s.counted {
+				j.recordEnd(n, s.done)
+			}
 		}
 		j.pendingEnds = append(j.pendingEnds, s.end)
 	}
 	delete(k.orphans, id)
 	j.writing = true
 	k.jobs[id] = j
-	job := jobOf(id, r)
 	k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(r), Expected: revision}, func(revision int64, err error) {
 		if err != nil {
 			// Another entry changed the record first, or the next review finds the job again. After a
@@ -286,6 +312,10 @@
 			k.restoreOrphans(id, ends, isConflict(err))
 			return
 		}
+		// The record may include ends that were reported during the write.
+		k.mu.Lock()
+		job := jobOf(id, r)
+		k.mu.Unlock()
 		k.writeDone(j, wire.KeptJob_open, revision, nil)
 		if k.Identity.Holder() == self {
 			k.startJob(j, job)
@@ -294,20 +324,18 @@
 }
 
 // restoreOrphans puts back the ends of a job whose record could not be written; with
-// onlyDone it leaves out failed runs.
-func (k *Keeper) restoreOrphans(id string, ends []orphanedEnd, onlyDone bool) {
+// counted it marks failed runs as possibly included in the record.
+func (k *Keeper) restoreOrphans(id string, ends []orphanedEnd, counted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range ends {
-		if s.done || !onlyDone {
-			k.orphans[id] = append(k.orphans[id], s)
-		}
+		s.counted = s.counted || counted
+		k.orphans[id] = append(k.orphans[id], s)
 	}
 }
 
-// dropOrphans drops ends that were not added to any record: those of the holder's
-// runs, which their upstreams may then forget, and those older than
-// orphanRetention.
+// dropOrphans drops the ends of a holder's runs that were not added to any record,
+// which their upstreams may then forget.
 func (k *Keeper) dropOrphans(holder string) {
 	k.mu.Lock()
 	var dropped []coordinator.End
@@ -317,17 +345,55 @@
 				dropped = append(dropped, s.end)
 			}
 		}
-		k.orphans[id] = slices.DeleteFunc(ends, func(s orphanedEnd) bool {
-			return s.holder == holder || time.Since(s.received) > orphanRetention
-		})
-		if len(k.orphans[id]) == 0 {
-			delete(k.orphans, id)
-		}
+		k.setOrphans(id, slices.DeleteFunc(ends, func(s orphanedEnd) bool { return s.holder == holder }))
 	}
 	k.mu.Unlock()
 	k.Jobs.ReleaseEnds(dropped)
 }
 
+// setOrphans replaces the orphaned ends of a job; the caller holds the lock.
+func (k *Keeper) setOrphans(id string, ends []orphanedEnd) {
+	if len(ends) == 0 {
+		delete(k.orphans, id)
+		return
+	}
+	k.orphans[id] = ends
+}
+
+// settleOrphans releases the old ends that no record needs any more: their jobs have
+// ended, or their records include them. Until then their upstreams list them.
+func (k *Keeper) settleOrphans(ctx context.Context) {
+	k.mu.Lock()
+	var ids []string
+	for id, ends := range k.orphans {
+		if time.Since(ends[0].received) > settleAfter && len(ids) < maxSettled {
+			ids = append(ids, id)
+		}
+	}
+	k.mu.Unlock()
+	for _, id := range ids {
+		kv, err := k.read(ctx, id)
+		if err != nil {
+			k.Log.Debug().Str("job", id).Err(err).Msg("orphaned_ends_unsettled")
+			return
+		}
+		record := decode(kv.Value)
+		ended := kv.Revision == 0 || record.GetState() != wire.KeptJob_open
+		k.mu.Lock()
+		var settled []coordinator.End
+		k.setOrphans(id, slices.DeleteFunc(k.orphans[id], func(s orphanedEnd) bool {
+			n, ok := taskNumber(record, s.step, s.index)
+			if !ended && ok && !(s.done && slices.Contains(record.GetDone(), n)) {
+				return false
+			}
+			settled = append(settled, s.end)
+			return true
+		}))
+		k.mu.Unlock()
+		k.Jobs.ReleaseEnds(settled)
+	}
+}
+
 // AbandonOpenJobs abandons all open jobs after the holder of this entry was
 // lost. The entry that takes them over runs them again.
 func (k *Keeper) AbandonOpenJobs() {
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -15,8 +15,16 @@
 	defer k.mu.Unlock()
 	j := k.jobs[id]
 	if j == nil {
+		// The job was abandoned. The upstream's owner reports the end again, which
+		// then counts as orphaned.
 		return
 	}
+	k.recordTaskEnd(j, index, done, e)
+}
+
+// recordTaskEnd adds the end of a run to the record and schedules a write; the
+// caller holds the lock.
+func (k *Keeper) recordTaskEnd(j *keptJob, index uint32, done bool, e coordinator.End) {
 	j.recordEnd(index, done)
 	j.unwrittenEnds = append(j.unwrittenEnds, e)
 	if j.flushScheduled || j.writing {
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -141,7 +141,8 @@
 
 // usable reports whether new runs may be started; the caller holds the lock.
 func (h *ownedUpstream) usable(now time.Time) bool {
-	return h.synced && !h.released && !h.upstream.Leaving && h.admits(now, len(h.runs)) && !h.hasOrphans()
+	return h.synced && !h.released && !h.upstream.Leaving && h.admits(now, len(h.runs)) && !h.hasOrphans() &&
+		h.listedEnds()+uint64(len(h.runs)) < maxUnacknowledgedEnds
 }
 
 // hasOrphans reports whether there are runs without a requester, whose amounts are
@@ -364,12 +365,14 @@
 	return false
 }
 
-// cancelRunsOf stops all runs of one requester.
+// cancelRunsOf stops the runs of one requester that are not those of kept jobs. The
+// runs of a kept job go on: the requester may only be slow, and if it is dead, the
+// entry that takes over the job has them stopped.
 func (h *ownedUpstream) cancelRunsOf(ctx context.Context, requester string) {
 	h.mu.Lock()
 	var list []key
 	for k, r := range h.runs {
-		if r.requester == requester {
+		if r.requester == requester && r.request.GetHolder() == "" {
 			list = append(list, k)
 		}
 	}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -80,7 +80,7 @@
 	for _, e := range rep.Ended {
 		h.unacknowledged = h.unacknowledged || e.Number <= h.acknowledged()
 	}
-	h.reconcileRuns(ctx, rep.Running, sent, now)
+	h.reconcileRuns(ctx, rep, sent, now)
 	for k, e := range h.recentEnds {
 		if now.After(e.expires) {
 			delete(h.recentEnds, k)
@@ -112,9 +112,11 @@
 
 // reconcileRuns reconciles the known runs with the listed ones; the caller holds
 // the lock.
-func (h *ownedUpstream) reconcileRuns(ctx context.Context, list []ActiveRun, sent, now time.Time) {
-	listed := make(map[key]ActiveRun, len(list))
-	for _, l := range list {
+func (h *ownedUpstream) reconcileRuns(ctx context.Context, rep Report, sent, now time.Time) {
+	// The end of a run that is listed nowhere may not have fitted into a full list.
+	allEnds := len(rep.Ended) < MaxListedEnds
+	listed := make(map[key]ActiveRun, len(rep.Running))
+	for _, l := range rep.Running {
 		k := key{l.Task, l.Run}
 		listed[k] = l
 		if _, ended := h.recentEnds[k]; ended {
@@ -132,6 +134,7 @@
 		switch {
 		case found:
 			h.updateRun(ctx, k, r, l, now)
+		case !allEnds:
 		case r.phase == running && r.confirmedAt.Before(sent):
 			h.endRun(k, wire.RunEnd_lost)
 		case r.phase == uncertain && !r.stopping:
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -14,6 +14,14 @@
 	// orphanedEndRetention is how long orphaned ends, those without a known
 	// requester, are retained; the jobs of a dead entry are taken over sooner.
 	orphanedEndRetention = 12 * time.Second
+	// maxUnacknowledgedEnds is the number of ends that an upstream may list, those of
+	// its current runs included, while it gets new runs. It leaves a margin to
+	// MaxListedEnds.
+	maxUnacknowledgedEnds = 400
+	// resendInterval is the time after which a retained end is sent to its requester
+	// again. The requester may no longer run the job, and then finds out whether the
+	// upstream may drop the end.
+	resendInterval = 3 * time.Second
 	// earlyReleaseRetention is how long a RunSafe waits for the end of its run to
 	// be listed. It comes first when a former owner reported the end.
 	earlyReleaseRetention = 10 * time.Second
@@ -33,6 +41,8 @@
 	holder string
 	// expires is when the end is dropped if the holder is still unknown.
 	expires time.Time
+	// resendAt is when the end is sent to its requester again.
+	resendAt time.Time
 }
 
 // message converts the end to its wire form.
@@ -51,6 +61,10 @@
 	return out
 }
 
+// listedEnds returns the number of ends that the upstream lists until the next
+// acknowledgement; the caller holds the lock.
+func (h *ownedUpstream) listedEnds() uint64 { return h.lastEnd - min(h.lastEnd, h.acknowledged()) }
+
 // hasRetainedEnds reports whether there are retained ends.
 func (h *ownedUpstream) hasRetainedEnds() bool {
 	h.mu.Lock()
@@ -70,7 +84,7 @@
 	if e.Cause != wire.RunEnd_done && e.Cause != wire.RunEnd_failed {
 		return
 	}
-	out := retainedEnd{key: k, cause: e.Cause, expires: now.Add(orphanedEndRetention)}
+	out := retainedEnd{key: k, cause: e.Cause, expires: now.Add(orphanedEndRetention), resendAt: now.Add(resendInterval)}
 	switch {
 	case r == nil || r.requester == "":
 		if h.runner.discardOrphaned.Load() {
@@ -85,12 +99,18 @@
 }
 
 // expireRetainedEnds drops orphaned ends for which no holder came, and early RunSafe
-// messages whose ends were not listed; the caller holds the lock.
+// messages whose ends were not listed, and sends old ends again; the caller holds
+// the lock.
 func (h *ownedUpstream) expireRetainedEnds(now time.Time) {
 	for n, e := range h.retainedEnds {
 		if e.holder == "" && (now.After(e.expires) || h.runner.discardOrphaned.Load()) {
 			delete(h.retainedEnds, n)
 		}
+		if e.holder != "" && now.After(e.resendAt) {
+			e.resendAt = now.Add(resendInterval)
+			h.retainedEnds[n] = e
+			go h.runner.Ended(e.requester, e.message(h.upstream.Name))
+		}
 	}
 	for k, at := range h.earlyReleases {
 		if now.Sub(at) > earlyReleaseRetention {
@@ -131,8 +151,13 @@
 		h.earlyReleases[k] = time.Now()
 	}
 	h.unacknowledged = true
+	blocked := h.listedEnds()+uint64(len(h.runs)) >= maxUnacknowledgedEnds/2
 	h.mu.Unlock()
 	h.signal()
+	if blocked {
+		// The upstream may be usable again.
+		h.runner.Changed(h.upstream.Name)
+	}
 }
 
 // resendEnds assigns all matching retained ends to the requester and sends them
--- /dev/null
+++ b/lib/runner/retention_test.go
@@ -0,0 +1,54 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
+)
+
+// An upstream lists only so many ends at a time. While one that must be retained
+// holds back the acknowledgement of all later ones, a run whose end doesn't fit into
+// the list must not count as lost, as its task would run twice.
+func TestMoreEndsThanAreListed(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(1)
+		f.RunTime = func(string) time.Duration { return 5 * time.Millisecond }
+		b := newHarness(ctx, f, 1)
+		time.Sleep(50 * time.Millisecond)
+		start := func(task string) {
+			b.Request(ctx, "entry-1", &wire.RunRequest{
+				Upstream: "u0", Task: task, Run: 1, Amount: runner.AmountToWire(taskAmount), ExpectedMs: 5, Holder: "entry-1@1",
+			})
+		}
+		for i := range 2 * runner.MaxListedEnds {
+			start(fmt.Sprintf("t%d", i))
+			time.Sleep(30 * time.Millisecond)
+			if i > 0 {
+				// The end of the first run is never safe.
+				b.Safe(&wire.RunSafe{Upstream: "u0", Task: fmt.Sprintf("t%d", i), Run: 1})
+			}
+		}
+		time.Sleep(5 * time.Second)
+		counts := make(map[wire.RunEnd_Cause]int)
+		for i := range 2 * runner.MaxListedEnds {
+			task := fmt.Sprintf("t%d", i)
+			cause := b.end(task + "/1")
+			counts[cause]++
+			if cause != wire.RunEnd_done && f.Starts(task) > 0 {
+				t.Fatalf("%s ran and ended as %v, want done", task, cause)
+			}
+		}
+		if counts[wire.RunEnd_done] < 100 {
+			t.Errorf("ends by cause: %v, want at least 100 done", counts)
+		}
+		b.Safe(&wire.RunSafe{Upstream: "u0", Task: "t0", Run: 1})
+		time.Sleep(time.Second)
+		if !b.State("u0").GetUsable() {
+			t.Error("the upstream is not usable after all ends are safe")
+		}
+	})
+}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -217,7 +217,8 @@
 	}
 }
 
-// CancelRunsOf stops all runs of a requester that cannot be reached.
+// CancelRunsOf stops the runs of a requester that cannot be reached, except those of
+// kept jobs.
 func (r *Runner) CancelRunsOf(ctx context.Context, requester string) {
 	for _, h := range r.ownedUpstreams() {
 		h.cancelRunsOf(ctx, requester)
--- a/lib/runner/upstream.go
+++ b/lib/runner/upstream.go
@@ -86,6 +86,10 @@
 	Cause  wire.RunEnd_Cause
 }
 
+// MaxListedEnds is the maximum number of ends in a report. An upstream that has
+// more lists the first ones.
+const MaxListedEnds = 500
+
 // Report is an upstream's answer to an order or a poll. Runs and ends are read
 // from the answers to polls only.
 type Report struct {
--- a/lib/simulator/simulator.go
+++ b/lib/simulator/simulator.go
@@ -419,7 +419,7 @@
 	u.renew(f, p.Expires)
 	f.checkAcknowledged(u, p.Acknowledged)
 	u.ended = slices.DeleteFunc(u.ended, func(e runner.EndedRun) bool { return e.Number <= p.Acknowledged })
-	rep := runner.Report{Clock: u.clock(), Incarnation: u.Incarnation, Ended: slices.Clone(u.ended)}
+	rep := runner.Report{Clock: u.clock(), Incarnation: u.Incarnation, Ended: slices.Clone(u.ended[:min(len(u.ended), runner.MaxListedEnds)])}
 	for k, run := range u.runs {
 		r := runner.ActiveRun{Task: k.task, Run: k.run}
 		if !u.Stuck {
