--- a/standin/hoster/store.go
+++ b/standin/hoster/store.go
@@ -33,6 +33,8 @@
 	changed chan struct{}
 	down    bool
 	calls   int
+	// reads counts the lists and watches by prefix.
+	reads map[string]int
 	// compacted is the highest revision whose history was discarded.
 	compacted int
 }
@@ -40,7 +42,7 @@
 func newStore() *Store {
 	return &Store{
 		revision: 1, items: make(map[string]item), leases: make(map[int]*time.Timer),
-		ttl: make(map[int]time.Duration), changed: make(chan struct{}),
+		ttl: make(map[int]time.Duration), changed: make(chan struct{}), reads: make(map[string]int),
 	}
 }
 
@@ -65,6 +67,13 @@
 	return s.calls
 }
 
+// Reads returns the number of lists and watches of a prefix so far.
+func (s *Store) Reads(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[prefix]
+}
+
 func (s *Store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,6 +138,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
+		if prefix := r.URL.Query().Get("prefix"); prefix != "" {
+			s.reads[prefix]++
+		}
 		down := s.down
 		s.mu.Unlock()
 		if down {
