Bound the wait of kept jobs by their due time

Cause: a kept job has no deadline; the zero time counted as its due time, and the remaining time computed from it wrapped around to centuries, so a wide kept job started as soon as one of its tasks fitted and took each place that came free. Change: without a deadline the due time alone bounds a job. Test: TestWideKeptJobWaitsForItsPlaces failed first: a job of one task behind a wide one ended after 1.84 s instead of within 0.5 s. Ruled out: an effect on jobs that are not kept, all of which have a deadline.

--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -273,7 +273,7 @@
 // effectiveDue returns the time by which the job must end to be in time while
 // the caller still waits.
 func (j *job) effectiveDue() time.Time {
-	if j.Deadline.Before(j.Due) {
+	if !j.Deadline.IsZero() && j.Deadline.Before(j.Due) {
 		return j.Deadline
 	}
 	return j.Due
