--- a/lib/relayer/relayer.go
+++ b/lib/relayer/relayer.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// CurrentAt returns the time as of which this entry's list is known to be that of the
+// store; zero if it has none.
+func (r *Relayer) CurrentAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.following {
+		return r.freshAt
+	}
+	return r.ReadAt()
+}
+
 // startReading starts to read the list from the store; the caller holds the lock.
 func (r *Relayer) startReading() {
 	if r.stopReading != nil {
--- a/lib/relayer/relayer_test.go
+++ b/lib/relayer/relayer_test.go
@@ -212,6 +212,27 @@
 	})
 }
 
+// The age of a follower's list is that of the reader's, however long nothing changed.
+func TestAgeOfFollowedList(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newStore()
+		reader, follower := newNode(ctx, s, "a", "a"), newNode(ctx, s, "b", "a")
+		go exchange(ctx, reader, follower)
+		time.Sleep(time.Minute)
+		if age := time.Since(follower.CurrentAt()); age > time.Second {
+			t.Errorf("the list is %v old, want at most 1 s", age)
+		}
+		reader.setCut(true)
+		follower.setCut(true)
+		time.Sleep(10 * time.Second)
+		for _, n := range []*node{reader, follower} {
+			if age := time.Since(n.CurrentAt()); age < 9*time.Second {
+				t.Errorf("%s: the list is %v old 10 s after the store was lost", n.Self, age)
+			}
+		}
+	})
+}
+
 // When its reader is gone, a follower goes on with the next one without reading the
 // store.
 func TestNextReader(t *testing.T) {
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -41,9 +41,8 @@
 	// Log receives events.
 	Log zerolog.Logger
 
-	mu        sync.Mutex
-	list      retainer.Retainer[runner.Upstream]
-	updatedAt time.Time
+	mu   sync.Mutex
+	list retainer.Retainer[runner.Upstream]
 }
 
 // Apply applies an update from the store to the list.
@@ -63,7 +62,6 @@
 		}
 		changed = c || changed
 	}
-	r.updatedAt = now
 	r.mu.Unlock()
 	if r.Relay != nil && (u.Reset || len(relayed.Events) > 0) {
 		r.Relay(relayed)
@@ -106,10 +104,3 @@
 	defer r.mu.Unlock()
 	return r.list.All(time.Now())
 }
-
-// UpdatedAt returns the time of the last update from the store.
-func (r *Roster) UpdatedAt() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.updatedAt
-}
--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -20,8 +20,8 @@
 		t, _ := e.router.Table()
 		return float64(t.Version)
 	})
-	gauge("upstream_list_age_seconds", "Time since the store told something of the upstreams.", func() float64 {
-		return time.Since(e.roster.UpdatedAt()).Seconds()
+	gauge("upstream_list_age_seconds", "Time since the list of upstreams was known to be that of the store.", func() float64 {
+		return time.Since(e.relayer.CurrentAt()).Seconds()
 	})
 	gauge("jobs_open", "Jobs without an answer.", func() float64 {
 		open, _ := e.coordinator.Counts()
--- a/radishweir/internal/composer/status.go
+++ b/radishweir/internal/composer/status.go
@@ -13,7 +13,7 @@
 		PlatformConnected: e.watchers[0].Connected(), PlatformHeardAt: e.watchers[0].Heard(), OpenJobs: open,
 		Leased: &operator.Leased{
 			ConfigurationVersion: table.Version, ConfigurationTakenAt: e.router.AppliedAt(),
-			UpstreamsReadAt: e.roster.UpdatedAt(), Revision: revision, WaitingJobs: waiting,
+			UpstreamsReadAt: e.relayer.CurrentAt(), Revision: revision, WaitingJobs: waiting,
 		},
 	}
 	for _, m := range members {
