Start a task again after a refusal for want of a slot

Cause: an upstream that refuses a task for want of a slot is left alone for about a quarter of a run, and nothing looked at the queue when that time was over. With no other upstream free the task waited until another event. Change: the pool looks again at the end of that time. The cases of TestFaults run in a fixed order, with the suspected one repeated. Test: TestStartAfterBusyRefusal failed first (no outcome after 500 ms, the task was due after some 5 ms).

--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -457,3 +457,22 @@
 		}
 	})
 }
+
+// A task that the only upstream refused for want of a slot starts soon after, without
+// another event.
+func TestStartAfterBusyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newHarness(false, "a", 2)
+		busy := classifier.Wrap(classifier.NotRun, errors.New("no slot"), "refused")
+		s.setBehavior("a", behavior{run: time.Millisecond, err: busy, res: upstream.Result{Busy: true}})
+		if _, err := s.submit(1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond)
+		s.setBehavior("a", behavior{run: time.Millisecond})
+		time.Sleep(500 * time.Millisecond)
+		if got := s.results(); len(got) != 1 || !got[0].OK {
+			t.Errorf("after 500 ms the outcomes are %v, want one success", got)
+		}
+	})
+}
--- a/lib/dispatcher/outcome.go
+++ b/lib/dispatcher/outcome.go
@@ -155,7 +155,9 @@
 	case classifier.Of(err) == classifier.NotRun:
 		p.Recorder.Message(p.name, a.task.Tenant, MessageRefused)
 		if res.Busy {
-			s.ejectedUntil = time.Now().Add(watcher.Jitter(p.meanRun() / 4))
+			pause := watcher.Jitter(p.meanRun() / 4)
+			s.ejectedUntil = time.Now().Add(pause)
+			time.AfterFunc(pause, p.dispatch)
 			return
 		}
 		p.recordFailure(s)
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -145,12 +145,16 @@
 		f.checkSingleStarts()
 	})
 
-	for name, fault := range map[string]map[string]any{
-		"upstreams silent on used connections": {"silent": true},
-		"upstreams cut off each answer":        {"drop": true},
+	for _, c := range []struct {
+		name  string
+		fault map[string]any
+	}{
+		{"upstreams cut off each answer", map[string]any{"drop": true}},
+		{"upstreams silent on used connections", map[string]any{"silent": true}},
+		{"upstreams cut off each answer again", map[string]any{"drop": true}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			f.setFaults(fault)
+		t.Run(c.name, func(t *testing.T) {
+			f.setFaults(c.fault)
 			defer f.setFaults(map[string]any{})
 			for i := range 3 {
 				j := newJob(f.issueID("entry-1", "claims"), "claims", 6, 10*time.Millisecond)
