Don't count the processing of a frame as silence of the peer

Cause: with the pace of frames the read deadline was set when a frame arrived, and no longer before the next read, so an entry that took over 350 ms to process a frame dropped a peer whose next frames were already there. Found by reading the change. Change: the silence is measured from the end of the processing, as it was before. Test: TestSlowHandlerIsNoSilence failed first (down after a frame that took 700 ms). Ruled out: an effect where entries keep up.

--- a/lib/messenger/messenger_test.go
+++ b/lib/messenger/messenger_test.go
@@ -28,6 +28,8 @@
 	frames []*wire.PeerFrame
 	// linked is true while runs link this entry to its peers.
 	linked atomic.Bool
+	// delay is the time that each frame with run requests takes to process.
+	delay time.Duration
 }
 
 func (h *recordingHandler) Up(peer string, _ uint64) { h.set(peer, true) }
@@ -44,6 +46,9 @@
 }
 
 func (h *recordingHandler) Frame(_ string, f *wire.PeerFrame) {
+	if len(f.GetRequests()) > 0 {
+		time.Sleep(h.delay)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.frames = append(h.frames, f)
--- a/lib/messenger/pace_test.go
+++ b/lib/messenger/pace_test.go
@@ -221,3 +221,15 @@
 	p.a.Publish("ordinary", false)
 	eventually(t, "the ordinary change", has("ordinary"))
 }
+
+// The time in which a slow entry processes a frame is not silence of the peer.
+func TestSlowHandlerIsNoSilence(t *testing.T) {
+	p := newPair(t, true)
+	p.hb.delay = 2 * messenger.SilenceLimit
+	p.a.Send("b", func(f *wire.PeerFrame) { f.Requests = append(f.Requests, &wire.RunRequest{Task: "x"}) })
+	for began := time.Now(); time.Since(began) < 4*messenger.SilenceLimit; time.Sleep(time.Millisecond) {
+		if !p.hb.isUp("a") {
+			t.Fatalf("the peer counts as silent %v after a frame that takes %v to process", time.Since(began), p.hb.delay)
+		}
+	}
+}
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -50,10 +50,14 @@
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
-		if p := m.peer(name); p != nil {
+		p := m.peer(name)
+		if p != nil {
 			p.handleReceived(in, f)
 		}
 		m.Handler.Frame(name, f)
+		if p != nil {
+			p.restartSilence(in)
+		}
 		m.mu.Lock()
 		in.requests += uint64(len(f.GetRequests()))
 		m.mu.Unlock()
@@ -71,6 +75,18 @@
 	p.setConfirmedSession(f.GetTakenSession())
 }
 
+// restartSilence measures the silence on a connection from now on, as the time in
+// which a frame is processed is none.
+func (p *peer) restartSilence(in *incoming) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.incoming == in {
+		now := time.Now()
+		p.receivedAt = now
+		p.limitSilence(now)
+	}
+}
+
 // addIncoming registers a peer's connection, replacing any earlier one, and
 // starts dialling the peer if it was unknown.
 func (m *Messenger) addIncoming(ctx context.Context, hello *wire.PeerHello, in *incoming) {
