Bound the near entries of a large failure domain, and compute only what may be owned

Two costs still grow there: the near peers (50 in a failure domain), and the owners, which each entry computed for all upstreams over all members at each change of members, 300 times while all start. Change: a failure domain of more than 16 entries is split into cells; an entry computes owners only for upstreams that it may own, among the members of its failure domain.

--- a/lib/divider/divider.go
+++ b/lib/divider/divider.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	owner, ok := divider.Owner("upstream-7", "domain-1", members)
+//	owner, ok := divider.NewMembers(list).Owner("upstream-7", "domain-1")
 package divider
 
 import (
@@ -27,27 +27,47 @@
 	Weight int
 }
 
+// Members are the members by failure domain.
+type Members struct {
+	all      []Member
+	byDomain map[string][]Member
+}
+
+// NewMembers returns the given members by failure domain.
+func NewMembers(list []Member) Members {
+	m := Members{all: list, byDomain: make(map[string][]Member)}
+	for _, v := range list {
+		m.byDomain[v.Domain] = append(m.byDomain[v.Domain], v)
+	}
+	return m
+}
+
+// MayOwn reports whether a member of the failure domain from may own upstreams of the
+// failure domain of: the same one, or one without members.
+func (m Members) MayOwn(from, of string) bool { return from == of || len(m.byDomain[of]) == 0 }
+
+// Owner is like the function Owner.
+func (m Members) Owner(upstream, domain string) (string, bool) {
+	if local := m.byDomain[domain]; len(local) > 0 {
+		return highest(upstream, local)
+	}
+	return highest(upstream, m.all)
+}
+
 // Owner returns the name of the member that owns the upstream; false if there are
 // no members.
 func Owner(upstream, domain string, members []Member) (string, bool) {
-	if name, ok := highest(upstream, domain, members, true); ok {
-		return name, true
-	}
-	return highest(upstream, domain, members, false)
+	return NewMembers(members).Owner(upstream, domain)
 }
 
-// highest returns the member with the highest score; if local is set, only
-// members of the domain count. Scores are those of weighted rendezvous hashing:
-// members own upstreams in proportion to their weights, and a change of one
-// member moves only upstreams that it owned or owns then.
-func highest(upstream, domain string, members []Member, local bool) (string, bool) {
+// highest returns the member with the highest score. Scores are those of weighted
+// rendezvous hashing: members own upstreams in proportion to their weights, and a
+// change of one member moves only upstreams that it owned or owns then.
+func highest(upstream string, members []Member) (string, bool) {
 	var name string
 	best := 0.0
 	found := false
 	for _, m := range members {
-		if local && m.Domain != domain {
-			continue
-		}
 		s := score(m, upstream)
 		if !found || s > best || (s == best && m.Name < name) {
 			name, best, found = m.Name, s, true
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -12,13 +12,16 @@
 )
 
 // smallFleet is the number of entries up to which all of them are near each other.
-// In larger fleets only those of one failure domain are.
+// In larger fleets only those of one cell of a failure domain are.
 const smallFleet = 12
 
-// listReadersPerDomain is the number of entries of a failure domain that read the
-// list of upstreams from the store, so that the loss of one does not make all
-// others read it.
-const listReadersPerDomain = 2
+// maxCellSize is the maximum number of entries of a failure domain that are near each
+// other, so that the cost of an entry doesn't grow with its failure domain.
+const maxCellSize = 16
+
+// listReaders is the number of entries of a cell that read the list of upstreams from
+// the store, so that the loss of one does not make all others read it.
+const listReaders = 2
 
 // assignUpstreams recomputes which entry owns which upstream.
 func (e *Entry) assignUpstreams() {
@@ -28,53 +31,66 @@
 		e.runner.RetainOrphanedEnds()
 	}
 	registrations, token := e.enroller.Members()
-	var members []divider.Member
+	group := e.nearGroup(registrations)
+	var entries []divider.Member
 	peers, near := make(map[string]messenger.Peer), make(map[string]bool)
 	for _, r := range registrations {
-		members = append(members, divider.Member{Name: r.GetName(), Domain: r.GetFailureDomain(), Weight: int(r.GetWeight())})
-		near[r.GetName()] = len(registrations) <= smallFleet || r.GetFailureDomain() == e.FailureDomain
+		entries = append(entries, divider.Member{Name: r.GetName(), Domain: r.GetFailureDomain(), Weight: int(r.GetWeight())})
+		near[r.GetName()] = slices.Contains(group, r)
 		peers[r.GetName()] = messenger.Peer{Address: r.GetEntryAddress(), Near: near[r.GetName()]}
 	}
+	members := divider.NewMembers(entries)
 	list := e.roster.Upstreams()
 	var owned []runner.Upstream
 	for i := range list {
 		u := &list[i]
 		s, _ := e.router.Service(u.Service)
 		u.Connections = s.Connections
-		owner, ok := divider.Owner(u.Name, u.Domain, members)
-		if !ok {
+		if e.draining.Load() || !members.MayOwn(e.FailureDomain, u.Domain) {
 			continue
 		}
-		if owner == e.Name && !e.draining.Load() {
+		if owner, ok := members.Owner(u.Name, u.Domain); ok && owner == e.Name {
 			owned = append(owned, *u)
 		}
 	}
 	e.coordinator.SetNear(near)
 	e.messenger.SetPeers(e.ctx, peers)
-	e.relayer.SetReaders(e.listReaders(registrations))
+	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
 	e.coordinator.SetUpstreams(list)
 	e.coordinator.UpdateStates(e.Name, true, e.runner.States())
 }
 
-// listReaders returns the entries of this failure domain that read the list of
-// upstreams from the store, those with the largest weight first: in a small fleet
-// this entry itself.
-func (e *Entry) listReaders(registrations []*wire.Registration) []string {
+// nearGroup returns the entries that are near this one, itself included: all of a
+// small fleet, otherwise those of its cell of its failure domain.
+func (e *Entry) nearGroup(registrations []*wire.Registration) []*wire.Registration {
 	if len(registrations) <= smallFleet {
-		return []string{e.Name}
+		return registrations
 	}
-	var list []*wire.Registration
+	var names []string
 	for _, r := range registrations {
 		if r.GetFailureDomain() == e.FailureDomain {
-			list = append(list, r)
+			names = append(names, r.GetName())
 		}
 	}
-	slices.SortFunc(list, func(a, b *wire.Registration) int {
+	cell := divider.Cell(e.Name, names, maxCellSize)
+	return slices.DeleteFunc(slices.Clone(registrations), func(r *wire.Registration) bool {
+		return r.GetFailureDomain() != e.FailureDomain || !slices.Contains(cell, r.GetName())
+	})
+}
+
+// chooseListReaders returns the entries that read the list of upstreams from the store for
+// the near group, those with the largest weight first: in a small fleet this entry
+// itself.
+func (e *Entry) chooseListReaders(registrations, group []*wire.Registration) []string {
+	if len(registrations) <= smallFleet {
+		return []string{e.Name}
+	}
+	list := slices.SortedFunc(slices.Values(group), func(a, b *wire.Registration) int {
 		return cmp.Or(cmp.Compare(b.GetWeight(), a.GetWeight()), cmp.Compare(a.GetName(), b.GetName()))
 	})
 	var names []string
-	for _, r := range list[:min(len(list), listReadersPerDomain)] {
+	for _, r := range list[:min(len(list), listReaders)] {
 		names = append(names, r.GetName())
 	}
 	return names
