Log why runs are given up as lost, and stops that are refused

The line of lost runs named neither the reason nor the incarnation, so the hypotheses about two runs of one task at once could not be told apart. A refused stop left no line at all.

runs_lost now has reason, incarnation and answered_by; stop_refused is new; start_answered tells at debug level which incarnation answered.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -218,6 +218,9 @@
 	why := refusalReason(err)
 	if err != nil {
 		h.runner.Log.Debug().Str("task", k.task).Str("upstream", u.Name).Err(err).Msg("start_failed")
+	} else {
+		h.runner.Log.Debug().Str("task", k.task).Str("upstream", u.Name).Int64("incarnation", u.Incarnation).
+			Int64("answered_by", rep.Incarnation).Msg("start_answered")
 	}
 	h.mu.Lock()
 	r := h.runs[k]
@@ -343,6 +346,8 @@
 		if r == nil || h.released || err == nil || refusalReason(err) != 0 {
 			if r != nil && err == nil {
 				r.stoppedAt = time.Now()
+			} else if r != nil && !h.released {
+				h.runner.Log.Info().Str("task", k.task).Str("upstream", u.Name).Err(err).Msg("stop_refused")
 			}
 			h.mu.Unlock()
 			h.signal()
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -16,14 +16,14 @@
 	case Fenced:
 		h.markFenced()
 	case Replaced:
-		h.endAllAsLost()
+		h.endAllAsLost("replaced by another upstream", 0)
 		h.resetIncarnation(h.upstream.Incarnation)
 	case 0:
 		h.recordNoAnswer(now)
 		// Before the first answer to a poll, the former owner may still be renewing
 		// the lease.
 		if h.synced && h.unresponsive(now) && now.After(h.leaseEnd) {
-			h.endAllAsLost()
+			h.endAllAsLost("silent until its lease ended", 0)
 		}
 	default:
 		h.recordRefusal(why, now)
@@ -41,10 +41,12 @@
 	go h.runner.Changed(h.upstream.Name)
 }
 
-// endAllAsLost ends all runs as lost; the caller holds the lock.
-func (h *ownedUpstream) endAllAsLost() {
+// endAllAsLost ends all runs as lost; answered is the incarnation that showed it, 0 if
+// none answered. The caller holds the lock.
+func (h *ownedUpstream) endAllAsLost(reason string, answered int64) {
 	if len(h.runs) > 0 {
-		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Int("runs", len(h.runs)).Msg("runs_lost")
+		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Str("reason", reason).Int("runs", len(h.runs)).
+			Int64("incarnation", h.upstream.Incarnation).Int64("answered_by", answered).Msg("runs_lost")
 	}
 	for k := range h.runs {
 		h.endRun(k, wire.RunEnd_lost)
@@ -66,7 +68,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if rep.Incarnation != 0 && h.upstream.Incarnation != 0 && rep.Incarnation != h.upstream.Incarnation {
-		h.endAllAsLost()
+		h.endAllAsLost("another incarnation answered", rep.Incarnation)
 		h.resetIncarnation(rep.Incarnation)
 		return
 	}
