Ask at once for a run whose start failed with an error

Callers waited for a retry: a start that failed at once, as on a reset connection or with a server error, was looked into only when the current poll came back, up to 400 ms later; a start without an answer after 20 ms.

Evidence: TestStartOnResetConnectionIsResolvedAtOnce, no end after 100 ms before.

The upstream is now polled as after a start without an answer.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -274,6 +274,7 @@
 			r.phase = uncertain
 		}
 		h.recordNoAnswer(time.Now())
+		go h.resolveRuns(ctx)
 	default:
 		h.recordRefusal(why, time.Now())
 		if why == Fenced {
--- a/lib/runner/stop_test.go
+++ b/lib/runner/stop_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/simulator"
 	"radishweir.org/lib/wire"
@@ -71,3 +74,25 @@
 		})
 	}
 }
+
+// resetClient fails every start at once, as if the connection were reset.
+type resetClient struct{ runner.Client }
+
+func (resetClient) Start(context.Context, runner.Upstream, runner.Order) (runner.Report, error) {
+	return runner.Report{}, errors.New("connection reset")
+}
+
+func TestStartOnResetConnectionIsResolvedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(1)
+		b := &harness{ends: make(map[string]wire.RunEnd_Cause)}
+		b.Runner = &runner.Runner{Client: resetClient{f}, Ended: b.ended, Changed: func(string) {}, Log: zerolog.Nop()}
+		b.SetOwned(ctx, 1, f.List())
+		time.Sleep(50 * time.Millisecond)
+		b.Request(ctx, "entry-1", &wire.RunRequest{Upstream: "u0", Task: "t", Run: 1, Amount: runner.AmountToWire(taskAmount), ExpectedMs: 1000})
+		time.Sleep(100 * time.Millisecond)
+		if got := b.end("t/1"); got != wire.RunEnd_refused {
+			t.Errorf("the run ended as %v, want refused", got)
+		}
+	})
+}
