Count the silence of an owner from its claim on, not from an earlier one

A peer that was silent, say paused, comes back, registers and claims its upstreams again, and its states arrive before the connection works in both directions. The runs there that other entries had started meanwhile then belonged to a peer that counted as down, and ended as lost when the time for its earlier silence was up, however soon after the claim.

TestRunIsNotLostWithASilenceBeforeItsOwnersClaim failed before: the second run was requested 0.16 s after the claim. Ruled out: the frames that the paused entry read too late; none carried a run of these tasks.

A run at a silent peer is now lost once that time has passed since the peer went down and since it became the owner of the run.

--- a/lib/coordinator/claims_test.go
+++ b/lib/coordinator/claims_test.go
@@ -1,7 +1,9 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -35,3 +37,44 @@
 		t.Errorf("after the upstream was unlisted for a moment: Views = %+v, want entry-2 as its owner", views)
 	}
 }
+
+func TestRunIsNotLostWithASilenceBeforeItsOwnersClaim(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		sent := &recordedRequests{}
+		c := &coordinator.Coordinator{Self: "entry-1", PeerTimeout: 350 * time.Millisecond, Remote: sent, Log: zerolog.Nop()}
+		c.Init(ctx)
+		go c.Run(ctx)
+		c.SetUpstreams([]runner.Upstream{
+			{Name: "u0", Service: "claims", Capacity: packer.Amount{CPU: 16000, Memory: 1000}},
+			{Name: "u1", Service: "claims", Capacity: packer.Amount{CPU: 16000, Memory: 1000}},
+		})
+		claim := func(owner, upstream string, token int64) {
+			c.UpdateStates(owner, false, []*wire.UpstreamState{{
+				Upstream: upstream, Free: &wire.Amount{Cpu: 16000, Memory: 1000}, Slowness: 1, Usable: true, Token: token,
+			}})
+		}
+		c.PeerUp("entry-2", 1)
+		claim("entry-2", "u0", 1)
+		c.PeerDown("entry-2")
+		silence := time.Now()
+		c.PeerUp("entry-3", 1)
+		claim("entry-3", "u0", 2)
+		go c.Submit(ctx, coordinator.Job{
+			ID: "a", Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 1, Need: need, Expected: 5 * time.Second}},
+			Arrived: silence, Due: silence.Add(10 * time.Second), Deadline: silence.Add(20 * time.Second), MaxFailures: 3,
+		})
+		time.Sleep(1500 * time.Millisecond)
+		claim("entry-3", "u1", 3)
+		// The states of entry-2 arrive before both directions work again.
+		claim("entry-2", "u0", 4)
+		claimed := time.Now()
+		time.Sleep(1600 * time.Millisecond)
+		if q, n := sent.last(); n != 1 {
+			t.Errorf("%v after the claim run %d was requested on %s, the first may be at work", time.Since(claimed), q.GetRun(), q.GetUpstream())
+		}
+		time.Sleep(2 * time.Second)
+		if q, n := sent.last(); n != 2 || q.GetUpstream() != "u1" || q.GetRun() != 2 {
+			t.Errorf("%d requests, the last for run %d on %s, want the second run on u1 once entry-2 is silent for long", n, q.GetRun(), q.GetUpstream())
+		}
+	})
+}
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -360,8 +360,9 @@
 	}
 }
 
-// endLostRuns ends the runs at peers that have been down for lostAfter; the caller
-// holds the lock.
+// endLostRuns ends the runs at peers that have been down for lostAfter. A peer may
+// claim a run while it counts as down, and was alive at that time. The caller holds the
+// lock.
 func (c *Coordinator) endLostRuns(now time.Time) []message {
 	var out []message
 	for name, l := range c.peers {
@@ -371,24 +372,36 @@
 		l.runsLostAt = time.Time{}
 		for _, j := range c.jobs {
 			for _, t := range j.tasks {
-				if t.placed && t.owner == name && j.kept() && c.upstreams[t.upstream] != nil {
+				if !t.placed || t.owner != name {
+					continue
+				}
+				at := t.ownedAt.Add(c.lostAfter())
+				if j.kept() && c.upstreams[t.upstream] != nil {
 					// The peer may still be alive and know the end of the run.
 					// The next owner of the upstream asks the upstream for it,
 					// or the peer reports it when it is connected again.
-					l.runsLostAt = now.Add(keptRecheckInterval)
-					continue
+					at = now.Add(keptRecheckInterval)
 				}
-				if t.placed && t.owner == name {
-					out = append(out, c.handleEnd(t, &wire.RunEnd{
-						Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
-					})...)
+				if now.Before(at) {
+					l.recheck(at)
+					continue
 				}
+				out = append(out, c.handleEnd(t, &wire.RunEnd{
+					Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
+				})...)
 			}
 		}
 	}
 	return out
 }
 
+// recheck moves runsLostAt to the given time unless it is earlier.
+func (l *peerState) recheck(at time.Time) {
+	if l.runsLostAt.IsZero() || at.Before(l.runsLostAt) {
+		l.runsLostAt = at
+	}
+}
+
 // reattach asks the current owners for the ends of the runs of all matching tasks;
 // the caller holds the lock.
 func (c *Coordinator) reattach(match func(*task) bool) []message {
@@ -399,7 +412,7 @@
 				continue
 			}
 			if s := c.upstreams[t.upstream]; s != nil {
-				t.owner = s.owner
+				t.owner, t.ownedAt = s.owner, time.Now()
 			}
 			if m, ok := c.runRequest(t, true); ok {
 				out = append(out, m)
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -155,6 +155,8 @@
 	run      uint64
 	upstream string
 	owner    string
+	// ownedAt is when the owner became known as the one of the run.
+	ownedAt  time.Time
 	placed   bool
 	done     bool
 	failures int
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -245,7 +245,7 @@
 		s, t := c.upstreams[name], tasks[i]
 		j, st := t.job, t.step()
 		t.run++
-		t.upstream, t.owner, t.placed = name, s.owner, true
+		t.upstream, t.owner, t.ownedAt, t.placed = name, s.owner, now, true
 		if l := c.peers[s.owner]; l != nil {
 			l.usedUntil = now.Add(farPeerPeriod)
 		}
