Place the tasks of lost runs in the pass that ends the runs

Callers waited up to a second longer after the loss of an entry: a pass looked for room before it ended the runs of silent peers, so with nothing else waiting it had no room for their tasks, and the next pass comes only with the next event or after a second.

--- a/lib/coordinator/claims_test.go
+++ b/lib/coordinator/claims_test.go
@@ -78,3 +78,32 @@
 		}
 	})
 }
+
+func TestLostRunStartsAgainAtOnce(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		sent := &recordedRequests{}
+		c := &coordinator.Coordinator{Self: "entry-1", PeerTimeout: 350 * time.Millisecond, Remote: sent, Log: zerolog.Nop()}
+		c.Init(ctx)
+		go c.Run(ctx)
+		var list []runner.Upstream
+		for _, name := range []string{"u2", "u3"} {
+			list = append(list, runner.Upstream{Name: name, Service: "claims", Capacity: packer.Amount{CPU: 16000, Memory: 1000}})
+		}
+		c.SetUpstreams(list)
+		c.PeerUp("entry-2", 1)
+		c.UpdateStates("entry-2", true, []*wire.UpstreamState{{Upstream: "u2", Free: &wire.Amount{Cpu: 16000, Memory: 1000}, Slowness: 1, Usable: true, Token: 1}})
+		now := time.Now()
+		go c.Submit(ctx, coordinator.Job{
+			ID: "a", Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 1, Need: need, Expected: 5 * time.Second}},
+			Arrived: now, Due: now.Add(10 * time.Second), Deadline: now.Add(20 * time.Second), MaxFailures: 3,
+		})
+		time.Sleep(50 * time.Millisecond)
+		c.PeerDown("entry-2")
+		c.PeerUp("entry-3", 1)
+		c.UpdateStates("entry-3", true, []*wire.UpstreamState{{Upstream: "u3", Free: &wire.Amount{Cpu: 16000, Memory: 1000}, Slowness: 1, Usable: true, Token: 2}})
+		time.Sleep(1700 * time.Millisecond)
+		if q, n := sent.last(); n != 2 || q.GetUpstream() != "u3" {
+			t.Errorf("%d requests, the last on %s, want the second on u3 as soon as the first run is lost", n, q.GetUpstream())
+		}
+	})
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -66,10 +66,11 @@
 // answered in time, and returns the time until the next pass is due.
 func (c *Coordinator) Pass(now time.Time) time.Duration {
 	c.mu.Lock()
-	c.takeSnapshots(now)
 	out := c.updateHolder()
 	out = append(out, c.answerExpired(now)...)
 	out = append(out, c.endLostRuns(now)...)
+	// The snapshots cover the tasks that wait by now.
+	c.takeSnapshots(now)
 	out = append(out, c.placeStarted(now)...)
 	out = append(out, c.startWaiting(now)...)
 	next := c.untilNextPass(now)
