Learn from a refusal for want of room that an upstream has less of it

Cause: after the refusal the owner counted the amount as free again, so the next pass of the coordinator, 2 ms later, placed the task there once more.

Ruled out by reading: refusals by the owner itself. It publishes its state before them, and the frame with such an end also carries the changed states.

Change: after such a refusal the owner lowers the free amount such that the refused one no longer fits, in the resource that holds the fewest of it. Runs that end there add to it as usual, so smaller tasks go on and room that comes free is used. A changed capacity in the registration or 2 s without one give it back; after 2 s one start at a time shows whether the room is there.

--- a/lib/runner/capacity_test.go
+++ b/lib/runner/capacity_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
 	"radishweir.org/lib/simulator"
 	"radishweir.org/lib/wire"
 )
@@ -123,6 +124,9 @@
 			rng, faults := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 			var mu sync.Mutex
 			f := newUnguardedFleet(3, 80*time.Millisecond)
+			for i := range 3 {
+				f.Update(fmt.Sprintf("u%d", i), func(u *simulator.Upstream) { u.Unguarded = seed%3 > 0 })
+			}
 			f.Fault = func(simulator.Operation, string) simulator.Fault {
 				mu.Lock()
 				defer mu.Unlock()
@@ -172,6 +176,12 @@
 			if n := f.Running(); n > 0 {
 				t.Errorf("seed %d: %d runs continue after the end of the test", seed, n)
 			}
+			owner.SetOwned(ctx, token, f.List())
+			for _, u := range f.List() {
+				if got := runner.AmountFromWire(owner.State(u.Name).GetFree()); got != u.Capacity {
+					t.Errorf("seed %d: idle upstream %s has %v free, want %v", seed, u.Name, got, u.Capacity)
+				}
+			}
 		})
 	}
 }
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -110,6 +110,7 @@
 	// leaseEnd is the time at which all runs have certainly ended unless another
 	// order or poll renews the lease.
 	leaseEnd time.Time
+	room     room
 	health
 }
 
@@ -129,7 +130,10 @@
 	if u.Incarnation != old.Incarnation && u.Incarnation != h.incarnation {
 		h.unverifiedSince = time.Now()
 	}
-	h.free = h.free.Plus(u.Capacity).Minus(old.Capacity)
+	if u.Capacity != old.Capacity {
+		h.restoreRoom()
+		h.free = h.free.Plus(u.Capacity).Minus(old.Capacity)
+	}
 	h.mu.Unlock()
 	h.signal()
 	if old != u {
@@ -159,7 +163,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	return &wire.UpstreamState{
-		Upstream: h.upstream.Name, Free: AmountToWire(h.free), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
+		Upstream: h.upstream.Name, Free: AmountToWire(h.available()), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
 	}
 }
 
@@ -228,7 +232,7 @@
 		return wire.RunEnd_refused
 	case h.runs[k] != nil:
 		return wire.RunEnd_superseded
-	case !h.free.Holds(amount):
+	case !h.available().Holds(amount):
 		return wire.RunEnd_no_room
 	}
 	return 0
@@ -280,6 +284,7 @@
 		if r.phase != running {
 			r.phase, r.confirmedAt = running, time.Now()
 		}
+		h.endRoomCheck()
 		h.scheduleOverduePoll(ctx, k, r, time.Now())
 	case why == 0:
 		if r.phase == starting {
@@ -293,6 +298,9 @@
 			h.markFenced()
 		}
 		h.endRun(k, refusalCause(why), false)
+		if why == NoRoom {
+			h.withholdRoom(r.amount)
+		}
 	}
 	h.mu.Unlock()
 	h.signal()
@@ -305,6 +313,7 @@
 	if r := h.runs[k]; r != nil && r.phase == starting {
 		r.phase = uncertain
 		h.recordNoAnswer(time.Now())
+		h.endRoomCheck()
 	}
 	h.mu.Unlock()
 	h.resolveRuns(ctx)
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -57,6 +57,7 @@
 func (h *ownedUpstream) resetReports() {
 	h.lastEnd, h.clock, h.synced = 0, 0, false
 	clear(h.retainedEnds)
+	h.restoreRoom()
 	h.health = newHealth(h.log)
 }
 
