Refuse a waiting job at once when no upstream can hold its tasks any more

Callers of best-effort jobs waited until it was too late for an answer in time when upstreams shrank under a waiting job, though the same job submitted after the shrink was refused at once.

Cause: whether a job's tasks fit any upstream was only looked at when it arrived.

Change: it is worked out for each step of the open jobs whenever the list of upstreams changes. A waiting job that is not kept and fits none is refused with the same time to retry as one that arrives. Kept jobs wait, as upstreams may grow again.

Tests: TestJobTooLargeForShrunkUpstreamsIsRefusedAtOnce failed before for the job that waited (no answer 100 ms after the shrink). TestKeptJobWaitsUntilAnUpstreamHasGrownAgain passed before and guards that kept jobs are not ended, that the task on the shrunk upstream goes on, and that the others run once it has grown.

--- a/lib/coordinator/capacity_test.go
+++ b/lib/coordinator/capacity_test.go
@@ -91,3 +91,92 @@
 		})
 	}
 }
+
+// setCapacity changes the capacity of an upstream and its registration.
+func (s *testEntry) setCapacity(ctx context.Context, upstream string, c packer.Amount) {
+	s.fleet.SetCapacity(upstream, c, 0)
+	s.runner.SetOwned(ctx, 1, s.fleet.List())
+	s.SetUpstreams(s.fleet.List())
+}
+
+// keep submits a kept job of one task.
+func (s *testEntry) keep(id string, amount packer.Amount, expected time.Duration) {
+	s.SubmitKept(keptJob(id, amount, expected))
+}
+
+// keptJob returns a kept job of one task.
+func keptJob(id string, amount packer.Amount, expected time.Duration) coordinator.Job {
+	now := time.Now()
+	return coordinator.Job{
+		ID: id, Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 1, Need: amount, Expected: expected}},
+		Arrived: now, Due: now.Add(time.Second), MaxFailures: 3, Holder: "entry-1@1",
+	}
+}
+
+// halfCapacity holds one task of need and none of wideNeed; the upstreams of newTestEntry
+// hold one task of wideNeed.
+var (
+	halfCapacity = packer.Amount{CPU: 8000, Memory: 65536}
+	fullCapacity = packer.Amount{CPU: 16000, Memory: 65536}
+	wideNeed     = packer.Amount{CPU: 12000, Memory: 64}
+)
+
+func TestKeptJobWaitsUntilAnUpstreamHasGrownAgain(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 1)
+		s.fleet.Amount = wideNeed
+		s.fleet.SetRunTime(func(string) time.Duration { return 2 * time.Second })
+		k := &memoryKeeper{ended: make(map[string]time.Time)}
+		s.Keeper = k
+		s.keep("running", wideNeed, 2*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		s.keep("waiting", wideNeed, 2*time.Second)
+		s.setCapacity(ctx, "u00", halfCapacity)
+		s.keep("late", wideNeed, 2*time.Second)
+		time.Sleep(30 * time.Second)
+		k.mu.Lock()
+		if len(k.ended) != 1 || k.ended["running"].IsZero() {
+			t.Errorf("ended on the shrunk upstream: %v, want only the job that ran", k.ended)
+		}
+		k.mu.Unlock()
+		s.setCapacity(ctx, "u00", fullCapacity)
+		time.Sleep(5 * time.Second)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if len(k.ended) != 3 {
+			t.Errorf("ended after the upstream had grown: %v, want all three jobs", k.ended)
+		}
+		if n := s.fleet.Starts("running.0.0.0"); n != 1 {
+			t.Errorf("the task on the shrunk upstream was started %d times, want once", n)
+		}
+	})
+}
+
+func TestJobTooLargeForShrunkUpstreamsIsRefusedAtOnce(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 1)
+		s.fleet.SetRunTime(func(string) time.Duration { return 2 * time.Second })
+		s.submitPatient(ctx, "running", need, time.Minute)
+		s.submitPatient(ctx, "beside", need, time.Minute)
+		time.Sleep(100 * time.Millisecond)
+		s.submitPatient(ctx, "before", wideNeed, time.Minute)
+		time.Sleep(100 * time.Millisecond)
+		s.setCapacity(ctx, "u00", halfCapacity)
+		s.submitPatient(ctx, "after", wideNeed, time.Minute)
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range []string{"before", "after"} {
+			if a := s.answerOf(t, id); a.state != coordinator.Refused {
+				t.Errorf("job %s got %v, want refused", id, a.state)
+			}
+		}
+		if _, refused := s.Refuses(keptJob("kept", wideNeed, time.Second)); !refused {
+			t.Error("a kept job that fits no upstream was accepted")
+		}
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"running", "beside"} {
+			if a := s.answerOf(t, id); a.state != coordinator.Complete {
+				t.Errorf("job %s got %v, want complete", id, a.state)
+			}
+		}
+	})
+}
--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -202,9 +202,10 @@
 			return earlier.answer
 		}
 		j = newJob(in, earlier.lastRun)
-		if !c.fitsAnyUpstream(j) {
+		c.updateFit(j)
+		if !j.fitsUpstreams() {
 			defer c.mu.Unlock()
-			return c.refuse(j, "no upstream is large enough")
+			return c.refuse(j, noLargeUpstream)
 		}
 		c.jobs[j.ID] = j
 		c.enqueue(j)
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -223,18 +223,15 @@
 	return n
 }
 
-// fitsAnyUpstream reports whether for each step of the job there is an upstream that
-// could run one of its tasks if it were idle.
-func (c *Coordinator) fitsAnyUpstream(j *job) bool {
+// updateFit determines for each step of the job whether there is an upstream that could
+// run one of its tasks if it were idle; the caller holds the lock.
+func (c *Coordinator) updateFit(j *job) {
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		if !slices.ContainsFunc(c.services[j.Service], func(s *upstreamState) bool {
+		j.fits[i] = slices.ContainsFunc(c.services[j.Service], func(s *upstreamState) bool {
 			return s.Capacity.Holds(st.Need) && (st.Label == "" || s.HasLabel(st.Label))
-		}) {
-			return false
-		}
+		})
 	}
-	return true
 }
 
 // SetUpstreams replaces the list of upstreams. Their owners are learned through
@@ -265,6 +262,9 @@
 		}
 	}
 	c.upstreams, c.services = upstreams, services
+	for _, j := range c.jobs {
+		c.updateFit(j)
+	}
 	c.fleetSeenAt = time.Time{}
 	c.mu.Unlock()
 	c.Wake()
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -186,6 +186,8 @@
 	timeToEnd []time.Duration
 	// firstTask is the number of the first task of each step.
 	firstTask []int
+	// fits is true for each step whose tasks fit an idle upstream.
+	fits []bool
 	// started is true while a task may have been started; such a job is never
 	// refused.
 	started bool
@@ -200,7 +202,7 @@
 
 // newJob opens a job. The run numbers of its tasks are higher than the given one.
 func newJob(j Job, run uint64) *job {
-	out := &job{Job: j, answer: make(chan Answer, 1), timeToEnd: j.timesToEnd(), remaining: make([]int, len(j.Steps)), firstTask: make([]int, len(j.Steps))}
+	out := &job{Job: j, answer: make(chan Answer, 1), timeToEnd: j.timesToEnd(), remaining: make([]int, len(j.Steps)), firstTask: make([]int, len(j.Steps)), fits: make([]bool, len(j.Steps))}
 	for s := range j.Steps {
 		out.remaining[s], out.firstTask[s] = j.Steps[s].Tasks, len(out.tasks)
 		for i := range j.Steps[s].Tasks {
@@ -233,6 +235,17 @@
 	return true
 }
 
+// fitsUpstreams reports whether the tasks of all steps that are not done fit an idle
+// upstream.
+func (j *job) fitsUpstreams() bool {
+	for s, n := range j.remaining {
+		if n > 0 && !j.fits[s] {
+			return false
+		}
+	}
+	return true
+}
+
 // isWaiting reports whether a task waits for an upstream.
 func (t *task) isWaiting() bool { return !t.placed && !t.done && t.job.ready(t.stepIndex) }
 
--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -62,6 +62,7 @@
 	case j.failedTooOften():
 		out = c.endJob(j, Answer{State: Failed, Reason: "a task failed too often"})
 	default:
+		c.updateFit(j)
 		c.enqueue(j)
 	}
 	c.mu.Unlock()
@@ -156,8 +157,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := newJob(in, 0)
-	if !c.fitsAnyUpstream(j) {
-		return c.refuse(j, "no upstream is large enough"), true
+	c.updateFit(j)
+	if !j.fitsUpstreams() {
+		return c.refuse(j, noLargeUpstream), true
 	}
 	if wait := c.backlog(); wait > keptWaitFactor*in.Due.Sub(in.Arrived) {
 		a := Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -42,6 +42,9 @@
 	maxWaitRatio = 1.5
 	// packingShare is the share of a fleet's cores that tasks of uneven size fill.
 	packingShare = 0.7
+	// noLargeUpstream is the reason of the refusal of a job with tasks that fit no
+	// upstream.
+	noLargeUpstream = "no upstream is large enough"
 	// minStartRate is a lower bound in cores that keeps the expected wait finite.
 	minStartRate = 0.001
 )
@@ -146,6 +149,10 @@
 		if c.suspended(j) {
 			continue
 		}
+		if !j.kept() && !j.fitsUpstreams() {
+			out = append(out, c.close(j, Answer{State: Refused, Reason: noLargeUpstream, RetryAfter: maxRetryWait})...)
+			continue
+		}
 		remaining := j.effectiveDue().Sub(now) - startMargin
 		if remaining < c.shortestTimeToEnd(j) && j.kept() {
 			remaining = lateKeptRemaining
