Don't count jobs that no upstream can hold among the work ahead of others

Callers of jobs that fitted idle upstreams were refused ("the queue is too long", "no room in time") while kept jobs waited that no upstream could hold after a shrink.

Cause: the expected wait counted the work of all waiting jobs, and the wait of a job with several tasks the cores of all waiting tasks of started jobs, also of those that nothing can start.

Ruled out: the order of the waiting jobs; those that fit are placed beside the others.

Change: both leave out what fits no upstream of the present list.

--- a/lib/coordinator/capacity_test.go
+++ b/lib/coordinator/capacity_test.go
@@ -12,12 +12,12 @@
 	"radishweir.org/lib/simulator"
 )
 
-// submitPatient submits a job of one task whose caller waits for the given time.
-func (s *testEntry) submitPatient(ctx context.Context, id string, amount packer.Amount, patience time.Duration) {
+// submitPatient submits a job of one step whose caller waits for the given time.
+func (s *testEntry) submitPatient(ctx context.Context, id string, tasks int, amount packer.Amount, patience time.Duration) {
 	now := time.Now()
 	j := coordinator.Job{
 		ID: id, Kind: "batch", Service: "claims",
-		Steps:   []coordinator.Step{{Tasks: 1, Need: amount, Expected: time.Second}},
+		Steps:   []coordinator.Step{{Tasks: tasks, Need: amount, Expected: time.Second}},
 		Arrived: now, Due: now.Add(patience), Deadline: now.Add(patience), MaxFailures: 3,
 	}
 	go func() {
@@ -51,7 +51,7 @@
 				s.fleet.SetRunTime(func(string) time.Duration { return time.Second })
 				s.fleet.SetCapacity("u00", c.capacity, 0)
 				for i := range 600 {
-					s.submitPatient(ctx, fmt.Sprintf("j%d", i), need, time.Minute)
+					s.submitPatient(ctx, fmt.Sprintf("j%d", i), 1, need, time.Minute)
 					time.Sleep(100 * time.Millisecond)
 				}
 				started, refused := s.counts("u00")
@@ -72,7 +72,7 @@
 			s.fleet.SetRunTime(func(string) time.Duration { return 5 * time.Second })
 			s.fleet.SetCapacity("u00", packer.Amount{}, 0)
 			for i := range 20 {
-				s.submitPatient(ctx, fmt.Sprintf("j%d", i), need, time.Minute)
+				s.submitPatient(ctx, fmt.Sprintf("j%d", i), 1, need, time.Minute)
 			}
 			time.Sleep(time.Second)
 			s.fleet.SetCapacity("u00", packer.Amount{CPU: 16000, Memory: 65536}, 0)
@@ -156,13 +156,13 @@
 	withFakeTime(t, func(t *testing.T, ctx context.Context) {
 		s := newTestEntry(ctx, 1)
 		s.fleet.SetRunTime(func(string) time.Duration { return 2 * time.Second })
-		s.submitPatient(ctx, "running", need, time.Minute)
-		s.submitPatient(ctx, "beside", need, time.Minute)
+		s.submitPatient(ctx, "running", 1, need, time.Minute)
+		s.submitPatient(ctx, "beside", 1, need, time.Minute)
 		time.Sleep(100 * time.Millisecond)
-		s.submitPatient(ctx, "before", wideNeed, time.Minute)
+		s.submitPatient(ctx, "before", 1, wideNeed, time.Minute)
 		time.Sleep(100 * time.Millisecond)
 		s.setCapacity(ctx, "u00", halfCapacity)
-		s.submitPatient(ctx, "after", wideNeed, time.Minute)
+		s.submitPatient(ctx, "after", 1, wideNeed, time.Minute)
 		time.Sleep(100 * time.Millisecond)
 		for _, id := range []string{"before", "after"} {
 			if a := s.answerOf(t, id); a.state != coordinator.Refused {
@@ -180,3 +180,56 @@
 		}
 	})
 }
+
+func TestJobsThatFitNoUpstreamDelayNoOthers(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 2)
+		s.fleet.SetRunTime(func(string) time.Duration { return time.Second })
+		s.Keeper = &memoryKeeper{ended: make(map[string]time.Time)}
+		s.setCapacity(ctx, "u00", halfCapacity)
+		s.setCapacity(ctx, "u01", halfCapacity)
+		for i := range 100 {
+			s.keep(fmt.Sprintf("w%d", i), wideNeed, time.Second)
+		}
+		time.Sleep(time.Second)
+		if a, refused := s.Refuses(keptJob("kept", need, time.Second)); refused {
+			t.Errorf("a kept job that fits an idle upstream was refused: %s", a.Reason)
+		}
+		for i := range 4 {
+			s.submitPatient(ctx, fmt.Sprintf("j%d", i), 1, need, 10*time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 4 {
+			if a := s.answerOf(t, fmt.Sprintf("j%d", i)); a.state != coordinator.Complete {
+				t.Errorf("job %s got %v after %v, want complete", a.id, a.state, a.after)
+			}
+		}
+	})
+}
+
+func TestStartedJobThatFitsNoUpstreamDelaysNoOthers(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 2)
+		s.fleet.SetRunTime(func(string) time.Duration { return 200 * time.Millisecond })
+		s.Keeper = &memoryKeeper{ended: make(map[string]time.Time)}
+		for i := range 20 {
+			in := keptJob(fmt.Sprintf("w%d", i), need, 200*time.Millisecond)
+			in.Steps = append(in.Steps, coordinator.Step{Tasks: 4, Need: wideNeed, Expected: 200 * time.Millisecond, After: []int{0}})
+			s.SubmitKept(in)
+		}
+		time.Sleep(400 * time.Millisecond)
+		s.setCapacity(ctx, "u00", halfCapacity)
+		s.setCapacity(ctx, "u01", halfCapacity)
+		for i := range 60 {
+			s.submit(ctx, "narrow", fmt.Sprintf("n%d", i), 1, 200*time.Millisecond, 3*time.Second)
+			if i == 30 {
+				s.submitPatient(ctx, "j", 4, need, 10*time.Second)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		if a := s.answerOf(t, "j"); a.state != coordinator.Complete {
+			t.Errorf("got %v after %v, want complete", a.state, a.after)
+		}
+	})
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -55,12 +55,14 @@
 	return minRetryAfter + min(wait, maxRetryWait) + rand.N(retryJitter)
 }
 
-// backlog returns the expected time until all waiting jobs are started; the caller
-// holds the lock.
+// backlog returns the expected time until all waiting jobs are started, without those
+// that no upstream can hold now; the caller holds the lock.
 func (c *Coordinator) backlog() time.Duration {
 	sum := 0.0
 	for _, j := range c.waiting {
-		sum += workOf(&j.Job)
+		if j.fitsUpstreams() {
+			sum += workOf(&j.Job)
+		}
 	}
 	return time.Duration(sum / max(c.startRate, minStartRate) * float64(time.Second))
 }
@@ -149,7 +151,8 @@
 		if c.suspended(j) {
 			continue
 		}
-		if !j.kept() && !j.fitsUpstreams() {
+		fits := j.fitsUpstreams()
+		if !fits && !j.kept() {
 			out = append(out, c.close(j, Answer{State: Refused, Reason: noLargeUpstream, RetryAfter: maxRetryWait})...)
 			continue
 		}
@@ -165,6 +168,9 @@
 		}
 		tasks := tasksOfFirstStep(j.waitingTasks())
 		chosen := c.chooseUpstreams(j, tasks, remaining, now)
+		if len(chosen) == 0 && !fits {
+			continue
+		}
 		if len(chosen) == 0 {
 			ahead += workOf(&j.Job)
 			wait := time.Duration(ahead / rate * float64(time.Second))
@@ -231,13 +237,14 @@
 	return chosen
 }
 
-// coresForStarted returns the cores that the waiting tasks of started jobs need.
+// coresForStarted returns the cores that the waiting tasks of started jobs need, without
+// those that no upstream can hold now.
 func (c *Coordinator) coresForStarted() float64 {
 	sum := 0.0
 	for _, j := range c.jobs {
 		if j.started {
 			for _, t := range j.tasks {
-				if t.isWaiting() {
+				if t.isWaiting() && j.fits[t.stepIndex] {
 					sum += float64(t.step().Need.CPU) / 1000
 				}
 			}
