End the runs on an upstream that is no longer listed

Callers got no answer until their deadline, and kept jobs never ended, if a task was at work on an upstream whose registration was removed, or could not be read for a moment.

Cause: the owner gives an unlisted upstream up, with the runs there, and tells nobody of their ends. If it owns the upstream again, with the same token as the registrations of the entries have not changed, it finds the runs without a requester and stops them; the coordinator asked for runs again only after a new token.

Ruled out: silent upstreams, whose runs the owner reports as lost before the registration lapses; silent owners, for which the coordinator has its own time-out.

Change: the coordinator notes when an owner gave an upstream up. If the owner claims it again, the coordinator asks for its runs again. If the upstream is not listed and all leases there have expired since, its runs count as lost.

Tests: TestRunsOnUpstreamThatWasUnlistedForAMomentEnd (gaps of 0.1, 1.5 and 5 s) and TestRunsOnUpstreamThatIsGoneStartElsewhere (reachable or not) failed before: no answer after 20 and 10 s. They pass now, without two runs of a task at a time.

--- a/lib/coordinator/capacity_test.go
+++ b/lib/coordinator/capacity_test.go
@@ -9,6 +9,7 @@
 
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
 	"radishweir.org/lib/simulator"
 )
 
@@ -95,8 +96,14 @@
 // setCapacity changes the capacity of an upstream and its registration.
 func (s *testEntry) setCapacity(ctx context.Context, upstream string, c packer.Amount) {
 	s.fleet.SetCapacity(upstream, c, 0)
-	s.runner.SetOwned(ctx, 1, s.fleet.List())
-	s.SetUpstreams(s.fleet.List())
+	s.relist(ctx, s.fleet.List())
+}
+
+// relist makes the entry read a list of upstreams.
+func (s *testEntry) relist(ctx context.Context, list []runner.Upstream) {
+	s.runner.SetOwned(ctx, 1, list)
+	s.SetUpstreams(list)
+	s.UpdateStates("entry-1", true, s.runner.States())
 }
 
 // keep submits a kept job of one task.
@@ -233,3 +240,64 @@
 		}
 	})
 }
+
+func TestRunsOnUpstreamThatWasUnlistedForAMomentEnd(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		withFakeTime(t, func(t *testing.T, ctx context.Context) {
+			s := newTestEntry(ctx, 1)
+			s.fleet.SetRunTime(func(string) time.Duration { return 800 * time.Millisecond })
+			k := &memoryKeeper{ended: make(map[string]time.Time)}
+			s.Keeper = k
+			s.keep("kept", need, 800*time.Millisecond)
+			s.submitPatient(ctx, "j", 1, need, time.Minute)
+			time.Sleep(100 * time.Millisecond)
+			s.relist(ctx, nil)
+			time.Sleep(gap)
+			s.relist(ctx, s.fleet.List())
+			time.Sleep(20 * time.Second)
+			if a := s.answerOf(t, "j"); a.state != coordinator.Complete {
+				t.Errorf("gap %v: got %v, want complete", gap, a.state)
+			}
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			if len(k.ended) != 1 {
+				t.Errorf("gap %v: the kept job has not ended", gap)
+			}
+			for _, v := range s.fleet.Violations() {
+				t.Errorf("gap %v: %s", gap, v)
+			}
+		})
+	}
+}
+
+func TestRunsOnUpstreamThatIsGoneStartElsewhere(t *testing.T) {
+	for _, reachable := range []bool{false, true} {
+		withFakeTime(t, func(t *testing.T, ctx context.Context) {
+			s := newTestEntry(ctx, 2)
+			s.fleet.SetRunTime(func(string) time.Duration { return 2 * time.Second })
+			k := &memoryKeeper{ended: make(map[string]time.Time)}
+			s.Keeper = k
+			s.keep("k0", need, 2*time.Second)
+			s.keep("k1", need, 2*time.Second)
+			s.submitPatient(ctx, "j0", 1, need, time.Minute)
+			s.submitPatient(ctx, "j1", 1, need, time.Minute)
+			time.Sleep(100 * time.Millisecond)
+			s.fleet.Update("u00", func(u *simulator.Upstream) { u.Unreachable = !reachable })
+			s.relist(ctx, s.fleet.List()[1:])
+			time.Sleep(10 * time.Second)
+			for _, id := range []string{"j0", "j1"} {
+				if a := s.answerOf(t, id); a.state != coordinator.Complete {
+					t.Errorf("job %s got %v, want complete", id, a.state)
+				}
+			}
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			if len(k.ended) != 2 {
+				t.Errorf("%d kept jobs ended, want 2", len(k.ended))
+			}
+			for _, v := range s.fleet.Violations() {
+				t.Error(v)
+			}
+		})
+	}
+}
--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -100,8 +100,10 @@
 	// services only the listed ones by service.
 	upstreams map[string]*upstreamState
 	services  map[string][]*upstreamState
-	peers     map[string]*peerState
-	kinds     map[string]*kindStats
+	// hasUnlisted is true while upstreams may hold one that is not listed.
+	hasUnlisted bool
+	peers       map[string]*peerState
+	kinds       map[string]*kindStats
 	// answered holds recently answered jobs by ID; purgedAt is the time of its last
 	// purge.
 	answered map[string]answeredJob
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -44,6 +44,9 @@
 	// unlistedSince is the time at which the upstream vanished from the list;
 	// zero while it is listed.
 	unlistedSince time.Time
+	// releasedAt is the time at which the owner gave the upstream up; zero while it
+	// owns it.
+	releasedAt time.Time
 	// owner is the entry that claimed the upstream with the highest token.
 	owner string
 	token int64
@@ -250,6 +253,7 @@
 		services[u.Service] = append(services[u.Service], s)
 	}
 	now := time.Now()
+	c.hasUnlisted = false
 	for name, s := range c.upstreams {
 		if upstreams[name] != nil {
 			continue
@@ -259,6 +263,7 @@
 		}
 		if now.Sub(s.unlistedSince) < unlistedRetention {
 			upstreams[name] = s
+			c.hasUnlisted = true
 		}
 	}
 	c.upstreams, c.services = upstreams, services
@@ -278,11 +283,7 @@
 func (c *Coordinator) UpdateStates(owner string, whole bool, list []*wire.UpstreamState) {
 	c.mu.Lock()
 	if whole {
-		for _, s := range c.upstreams {
-			if s.owner == owner {
-				s.stateKnown = false
-			}
-		}
+		c.releaseUnclaimed(owner, list)
 	}
 	newOwner := make(map[string]bool)
 	for _, u := range list {
@@ -291,6 +292,7 @@
 			// The owner may have read the list from the store before this entry did.
 			s = &upstreamState{Upstream: runner.Upstream{Name: u.GetUpstream()}, unlistedSince: time.Now()}
 			c.upstreams[s.Name] = s
+			c.hasUnlisted = true
 		}
 		if s.owner != owner {
 			if u.GetToken() <= s.token {
@@ -304,7 +306,16 @@
 			// upstream again.
 			newOwner[s.Name] = true
 		}
-		s.stateKnown, s.usable = u.GetToken() != 0, u.GetUsable()
+		if u.GetToken() == 0 {
+			s.release()
+			continue
+		}
+		if !s.releasedAt.IsZero() {
+			// The owner knows nothing of the runs from before it gave the upstream up.
+			newOwner[s.Name] = true
+			s.releasedAt = time.Time{}
+		}
+		s.stateKnown, s.usable = true, u.GetUsable()
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
 		s.slowness, s.updatedAt = u.GetSlowness(), time.Now()
@@ -322,6 +333,28 @@
 	}
 }
 
+// releaseUnclaimed marks the upstreams of an owner that are not in the list of all its
+// upstreams as given up; the caller holds the lock.
+func (c *Coordinator) releaseUnclaimed(owner string, list []*wire.UpstreamState) {
+	claimed := make(map[string]bool, len(list))
+	for _, u := range list {
+		claimed[u.GetUpstream()] = true
+	}
+	for _, s := range c.upstreams {
+		if s.owner == owner && !claimed[s.Name] {
+			s.release()
+		}
+	}
+}
+
+// release records that the owner has given the upstream up.
+func (s *upstreamState) release() {
+	s.stateKnown = false
+	if s.releasedAt.IsZero() {
+		s.releasedAt = time.Now()
+	}
+}
+
 // RequestsReceived records that a peer received the requests of a session up to
 // a number.
 func (c *Coordinator) RequestsReceived(peer string, session, number uint64) {
@@ -402,6 +435,35 @@
 	}
 }
 
+// endUnlistedRuns ends the runs on upstreams that are no longer listed and that their
+// owners gave up so long ago that all leases there have expired; the caller holds the
+// lock.
+func (c *Coordinator) endUnlistedRuns(now time.Time) []message {
+	if !c.hasUnlisted {
+		return nil
+	}
+	over := make(map[string]bool)
+	for name, s := range c.upstreams {
+		if !s.unlistedSince.IsZero() && !s.releasedAt.IsZero() && now.Sub(s.releasedAt) >= c.lostAfter() {
+			over[name] = true
+		}
+	}
+	if len(over) == 0 {
+		return nil
+	}
+	var out []message
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.placed && over[t.upstream] {
+				out = append(out, c.handleEnd(t, &wire.RunEnd{
+					Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
+				})...)
+			}
+		}
+	}
+	return out
+}
+
 // reattach asks the current owners for the ends of the runs of all matching tasks;
 // the caller holds the lock.
 func (c *Coordinator) reattach(match func(*task) bool) []message {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -74,6 +74,7 @@
 	out := c.updateHolder()
 	out = append(out, c.answerExpired(now)...)
 	out = append(out, c.endLostRuns(now)...)
+	out = append(out, c.endUnlistedRuns(now)...)
 	// The snapshots cover the tasks that wait by now.
 	c.takeSnapshots(now)
 	out = append(out, c.placeStarted(now)...)
