Test that late starts and listed runs stay within the capacity of an upstream

Callers saw nothing new: these are two cases of faults that are mended (the slow clock of an idle upstream, a run at work after it was reported as over), seen from the capacity of an upstream that does not guard it.

Tests: TestLateStartOnIdleUpstreamWithSlowClockKeepsItsCapacity failed on the code before the clock was counted as slow (a start was carried out after it had been reported as lost), TestListedRunKeepsItsCapacityThoughItCountsAsEnded on the code before such runs were counted (a third task on an upstream for two). Both pass now.

--- a/lib/runner/capacity_test.go
+++ b/lib/runner/capacity_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,3 +196,72 @@
 		})
 	}
 }
+
+func TestListedRunKeepsItsCapacityThoughItCountsAsEnded(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newUnguardedFleet(1, 0)
+		f.RunTime = func(string) time.Duration { return 2 * time.Second }
+		b := newHarness(ctx, f, 1)
+		time.Sleep(50 * time.Millisecond)
+		f.SetFault(func(op simulator.Operation, _ string) simulator.Fault {
+			if op == simulator.Start {
+				return simulator.Delayed
+			}
+			return simulator.None
+		})
+		b.ask(ctx, "u0", "late", 1, false)
+		time.Sleep(simulator.DelayBy / 2)
+		f.SetFault(nil)
+		if got := b.end("late/1"); got != wire.RunEnd_refused {
+			t.Fatalf("ended as %v, want refused", got)
+		}
+		f.Restart("u0", 2)
+		time.Sleep(simulator.DelayBy)
+		if f.Running() != 1 {
+			t.Fatal("the late start was not carried out")
+		}
+		for i := range 4 {
+			b.ask(ctx, "u0", fmt.Sprintf("next%d", i), 1, false)
+			time.Sleep(300 * time.Millisecond)
+		}
+		reportViolations(t, f)
+	})
+}
+
+func TestLateStartOnIdleUpstreamWithSlowClockKeepsItsCapacity(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newUnguardedFleet(1, 0)
+		f.RunTime = func(string) time.Duration { return 3 * time.Second }
+		f.Update("u0", func(u *simulator.Upstream) { u.ClockRate = 0.98 })
+		b := newHarness(ctx, f, 1)
+		time.Sleep(3 * time.Minute)
+		var cut atomic.Bool
+		cut.Store(true)
+		f.SetFault(func(op simulator.Operation, _ string) simulator.Fault {
+			switch {
+			case !cut.Load():
+				return simulator.None
+			case op == simulator.Start:
+				return simulator.Late
+			}
+			return simulator.Lost
+		})
+		b.ask(ctx, "u0", "late", 1, false)
+		for b.end("late/1") == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cut.Store(false)
+		before := f.Starts("late")
+		if f.Running() > 0 {
+			t.Error("a run that was reported as lost is in progress")
+		}
+		for i := range 300 {
+			time.Sleep(10 * time.Millisecond)
+			b.ask(ctx, "u0", fmt.Sprintf("next%d", i), 1, false)
+		}
+		reportViolations(t, f)
+		if f.Starts("late") > before {
+			t.Error("a run that was reported as lost was started")
+		}
+	})
+}
