Share the set-up of the tests of reconnected peers

Three tests repeated the entry, its upstream and the bubble, and the fuzz targets its settings. The checks, times and cases are the same; all pass.

--- a/radishweir/internal/composer/fuzz_test.go
+++ b/radishweir/internal/composer/fuzz_test.go
@@ -18,15 +18,19 @@
 	adapter "radishweir.org/platform"
 )
 
+// testSettings returns settings of an entry whose servers are not started.
+func testSettings() *Settings {
+	return &Settings{
+		Name: "entry-1", FailureDomain: "domain-1", EntryAddress: "127.0.0.1:0", PlatformAddress: "127.0.0.1:1",
+		StoreWrites: 400, LogLevel: "error", Cores: "1", FarFactor: "1.5", MemoryMB: 256, BalancerWait: "1s", DrainLimit: "5s",
+	}
+}
+
 // newFuzzEntry returns an entry that owns one upstream and has an open job, without
 // servers or a store.
 func newFuzzEntry(f *testing.F) *Entry {
 	f.Helper()
-	s := &Settings{
-		Name: "entry-1", FailureDomain: "domain-1", EntryAddress: "127.0.0.1:0", PlatformAddress: "127.0.0.1:1",
-		StoreWrites: 400, LogLevel: "error", Cores: "1", FarFactor: "1.5", MemoryMB: 256, BalancerWait: "1s", DrainLimit: "5s",
-	}
-	e, err := New(s, zerolog.Nop(), &atomic.Int64{})
+	e, err := New(testSettings(), zerolog.Nop(), &atomic.Int64{})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/radishweir/internal/composer/peers_test.go
+++ b/radishweir/internal/composer/peers_test.go
@@ -16,26 +16,31 @@
 	"radishweir.org/lib/wire"
 )
 
-// newOwner returns an entry that owns all upstreams of a fleet and is connected to
-// entry-2, without servers or a store.
-func newOwner(ctx context.Context, t *testing.T, f *simulator.Fleet) *Entry {
+// withOwner runs a test in a synctest bubble with an entry that owns the upstream u1 and
+// is connected to entry-2, without servers or a store. Runs on u1 take ten minutes.
+func withOwner(t *testing.T, test func(t *testing.T, e *Entry, f *simulator.Fleet)) {
 	t.Helper()
-	s := &Settings{
-		Name: "entry-1", FailureDomain: "domain-1", EntryAddress: "127.0.0.1:0", PlatformAddress: "127.0.0.1:1",
-		StoreWrites: 400, LogLevel: "error", Cores: "1", FarFactor: "1.5", MemoryMB: 256, BalancerWait: "1s", DrainLimit: "5s",
-	}
-	e, err := New(s, zerolog.Nop(), &atomic.Int64{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	e.ctx = ctx
-	e.coordinator.Init(ctx)
-	e.runner.Client = f
-	e.coordinator.SetUpstreams(f.List())
-	e.runner.SetOwned(ctx, 1, f.List())
-	e.Up("entry-2", 1)
-	time.Sleep(50 * time.Millisecond)
-	return e
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := simulator.New()
+		f.Amount = packer.Amount{CPU: 1000, Memory: 1}
+		f.RunTime = func(string) time.Duration { return 10 * time.Minute }
+		f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
+		e, err := New(testSettings(), zerolog.Nop(), &atomic.Int64{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.ctx = ctx
+		e.coordinator.Init(ctx)
+		e.runner.Client = f
+		e.coordinator.SetUpstreams(f.List())
+		e.runner.SetOwned(ctx, 1, f.List())
+		e.Up("entry-2", 1)
+		time.Sleep(50 * time.Millisecond)
+		test(t, e, f)
+		cancel()
+		time.Sleep(2 * simulator.LateBy)
+	})
 }
 
 // request returns a frame that asks for the first runs of tasks of 10 s on u1.
@@ -77,13 +82,7 @@
 		"kept, after a long time": {time.Minute, "entry-2@1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := simulator.New()
-				f.Amount = packer.Amount{CPU: 1000, Memory: 1}
-				f.RunTime = func(string) time.Duration { return 10 * time.Minute }
-				f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
-				e := newOwner(ctx, t, f)
+			withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
 				e.Frame("entry-2", request(false, c.holder, "a.0.0.0", "a.0.0.1", "b.0.0.0"))
 				time.Sleep(50 * time.Millisecond)
 				e.Down("entry-2")
@@ -95,8 +94,6 @@
 				if got := runningTasks(t, f); !slices.Equal(got, []string{"b.0.0.0", "c.0.0.0"}) {
 					t.Errorf("running are %v, want those that entry-2 asked for after it reconnected", got)
 				}
-				cancel()
-				time.Sleep(2 * simulator.LateBy)
 			})
 		})
 	}
@@ -105,13 +102,7 @@
 // A requester that reconnects again and again gets the runs stopped that it doesn't
 // attach to.
 func TestRunStopsAtUnstableConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := simulator.New()
-		f.Amount = packer.Amount{CPU: 1000, Memory: 1}
-		f.RunTime = func(string) time.Duration { return 10 * time.Minute }
-		f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
-		e := newOwner(ctx, t, f)
+	withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
 		e.Frame("entry-2", request(false, "", "a.0.0.0", "b.0.0.0"))
 		for i := range uint64(8) {
 			time.Sleep(50 * time.Millisecond)
@@ -123,20 +114,12 @@
 		if got := runningTasks(t, f); !slices.Equal(got, []string{"b.0.0.0"}) {
 			t.Errorf("running are %v, want the one that entry-2 attached to", got)
 		}
-		cancel()
-		time.Sleep(2 * simulator.LateBy)
 	})
 }
 
 // A connection that fails in one direction still delivers requests in the other.
 func TestRunStopsThatWasRequestedWhileThePeerWasDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := simulator.New()
-		f.Amount = packer.Amount{CPU: 1000, Memory: 1}
-		f.RunTime = func(string) time.Duration { return 10 * time.Minute }
-		f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
-		e := newOwner(ctx, t, f)
+	withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
 		e.Down("entry-2")
 		e.Frame("entry-2", request(false, "", "a.0.0.0", "b.0.0.0"))
 		time.Sleep(20 * time.Millisecond)
@@ -146,7 +129,5 @@
 		if got := runningTasks(t, f); !slices.Equal(got, []string{"b.0.0.0"}) {
 			t.Errorf("running are %v, want the one that entry-2 attached to", got)
 		}
-		cancel()
-		time.Sleep(2 * simulator.LateBy)
 	})
 }
