Apply the refusal of a fencing token to that token only

Callers waited for tasks whose leases lapsed although their upstream was well: an owner that was fenced off and has claimed its upstream again took a late refusal of its former token for one of the new token. It sent no more polls until the next change of the registrations, while it still reported the upstream as usable, so all runs there ended with their lease.

A refusal now counts only if it refuses the current token.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -290,7 +290,7 @@
 	default:
 		h.recordRefusal(why, time.Now())
 		if why == Fenced {
-			h.markFenced()
+			h.markFenced(o.Token)
 		}
 		h.endRun(k, refusalCause(why), false)
 	}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -7,14 +7,14 @@
 	"radishweir.org/lib/wire"
 )
 
-// handlePollError processes the error of a poll.
-func (h *ownedUpstream) handlePollError(err error) {
+// handlePollError processes the error of a poll with the given token.
+func (h *ownedUpstream) handlePollError(err error, token int64) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch why := refusalReason(err); why {
 	case Fenced:
-		h.markFenced()
+		h.markFenced(token)
 	case Replaced:
 		h.endAllAsLost("replaced by another upstream")
 		h.resetReports()
@@ -30,9 +30,12 @@
 	}
 }
 
-// markFenced stops using an upstream that refused the token until there is a newer
+// markFenced stops using an upstream that refused a token until there is a newer
 // token; the caller holds the lock.
-func (h *ownedUpstream) markFenced() {
+func (h *ownedUpstream) markFenced(token int64) {
+	if token < h.token {
+		return
+	}
 	if h.refusedToken != h.token {
 		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Int64("token", h.token).Msg("upstream_has_newer_owner")
 	}
