Send stops to the current address of an upstream with the current token

Callers waited to their deadline for a task whose run was being stopped when its upstream restarted under its name at another address: the stop went to the former address for ever, or ended with the refusal of another upstream there, so the run never got an end. As a stop was overdue, the upstream got no more runs and no lease there was renewed. A stop that was refused with a former token was not sent again either when the owner claimed the upstream again; its run, and all others there, ended only with their lease.

Evidence: TestStopFollowsUpstreamThatRestartsAtAnotherAddress (no end after 3 s before) and TestStopIsRepeatedWhenTheOwnerClaimsTheUpstreamAgain (at work after 0.5 s before).

Each repetition uses the address and the token of its moment. Without a token that the upstream accepts, the stop waits until the owner has claimed the upstream again; a report to a poll with the refused token does not count as the claim.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -44,6 +44,8 @@
 	// requester has asked for the run since.
 	detachedAt time.Time
 	stopping   bool
+	// stopFenced is true if the stop waits for a newer fencing token.
+	stopFenced bool
 	// stopDeadline is when a run that is to be stopped counts as one that cannot be.
 	stopDeadline time.Time
 	// stoppedAt is the time at which the upstream confirmed a stop.
@@ -381,16 +383,20 @@
 }
 
 // sendStop repeats a stop order until the upstream confirms it, the run has ended, or
-// the upstream is replaced or has another owner.
-func (h *ownedUpstream) sendStop(ctx context.Context, u Upstream, k key, o Order) {
+// the ownership has. Each order goes to the upstream's current address with the current token.
+func (h *ownedUpstream) sendStop(ctx context.Context, k key) {
 	refused, overdue := false, time.Now().Add(StopTimeout)
 	for ctx.Err() == nil {
+		u, o, due := h.stopOrder(k)
+		if !due {
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, answerTimeout)
 		sent := time.Now()
 		_, err := h.runner.Client.Stop(call, u, o)
 		cancel()
 		why := refusalReason(err)
-		if h.stopEnded(k, err, sent) {
+		if h.stopEnded(k, o, err, sent) {
 			return
 		}
 		if why != 0 && !refused {
@@ -406,16 +412,36 @@
 	}
 }
 
+// stopOrder returns the order to stop a run, and false if the run is not this owner's to
+// stop (any more).
+func (h *ownedUpstream) stopOrder(k key) (Upstream, Order, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.runs[k]
+	if r == nil || h.released {
+		return Upstream{}, Order{}, false
+	}
+	if h.token == h.refusedToken {
+		// The stop is sent again once there is a newer token.
+		r.stopFenced = true
+		return Upstream{}, Order{}, false
+	}
+	return h.upstream, Order{Task: k.task, Run: k.run, Token: h.token}, true
+}
+
 // stopEnded processes the answer to a stop and reports whether no further one is
 // needed.
-func (h *ownedUpstream) stopEnded(k key, err error, sent time.Time) bool {
+func (h *ownedUpstream) stopEnded(k key, o Order, err error, sent time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.signal()
 	r := h.runs[k]
 	switch why := refusalReason(err); {
-	case r == nil, h.released, why == Fenced, why == Replaced:
+	case r == nil, h.released:
 		return true
+	case why == Fenced:
+		h.markFenced(o.Token)
+		return false
 	case err != nil, sent.Before(h.incarnationAt):
 		// A former incarnation may have sent the answer.
 		return false
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -121,8 +121,13 @@
 			delete(h.recentEnds, k)
 		}
 	}
-	if !h.synced {
+	if !h.synced && h.token != h.refusedToken {
 		h.synced = true
+		for k, r := range h.runs {
+			if r.stopFenced {
+				h.stopLocked(ctx, k, r)
+			}
+		}
 		go h.runner.Changed(h.upstream.Name)
 		go h.resolveRuns(ctx)
 	}
@@ -206,6 +211,6 @@
 
 // stopLocked sends a stop order for a run; the caller holds the lock.
 func (h *ownedUpstream) stopLocked(ctx context.Context, k key, r *run) {
-	r.stopping, r.stopDeadline = true, time.Now().Add(StopTimeout)
-	go h.sendStop(ctx, h.upstream, k, Order{Task: k.task, Run: k.run, Token: h.token})
+	r.stopping, r.stopFenced, r.stopDeadline = true, false, time.Now().Add(StopTimeout)
+	go h.sendStop(ctx, k)
 }
