Keep the connections to idle peers after a short pause

An entry that was paused for half a second or more dropped its connections to idle peers, which are most of a large fleet, and dialled all of them again: idle peers exchange frames once a second, so the frames that it found then echoed ones that it had sent over 1.4 s before.

Ruled out: that other frames need the bound; only requests are carried out late, ends and claims hold whenever they arrive.

Only frames with run requests are dropped for their age.

--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -46,9 +46,10 @@
 	// SilenceLimit is the time without a frame after which a peer counts as
 	// down. It tolerates two missed heartbeats, as happen on a slow VM.
 	SilenceLimit = 350 * time.Millisecond
-	// maxFrameAge is the age above which a received frame is dropped with its
-	// connection, as its sender may have counted this entry as down since. Runs at a peer
-	// that is down are given up later.
+	// maxFrameAge is the age above which a received frame with run requests is dropped
+	// with its connection, as its sender may have counted this entry as down since. Runs
+	// at a peer that is down are given up later. Other frames are not harmful, and an
+	// idle peer may echo a frame that is older than idleInterval.
 	maxFrameAge = 1400 * time.Millisecond
 	// dialTimeout limits how long establishing a connection may take.
 	dialTimeout = 300 * time.Millisecond
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -55,8 +55,8 @@
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
-		if age := frameAge(f); age > maxFrameAge {
-			return errors.Errorf("a frame is %v old", age)
+		if age := frameAge(f); len(f.GetRequests()) > 0 && age > maxFrameAge {
+			return errors.Errorf("a frame with requests is %v old", age)
 		}
 		p := m.peer(name)
 		if p != nil {
