Give a reconnected requester its full time to attach to runs

Callers of kept jobs lost work: the timers of a lost connection also acted on the next one, and a connection that was established had a first timer after 150 ms, while runs that were detached seconds before counted as due. So an owner stopped runs of kept jobs 10 ms after their requester was connected again if the outage took 0.29 s, and after 150 ms instead of 300 ms following longer ones.

Evidence: TestKeptRunsGetTimeToAttachAfterReconnection, outages of 0.2, 0.29 and 3 s, failed in all three cases before and passes now; TestRunStopsWhenItsCancellationWasLost and TestRunStopsAtUnstableConnection pass as before.

The timer of a lost connection now acts only while the peer is unreachable, and an established one has a single timer after 300 ms.

--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -128,7 +128,7 @@
 	e.runner.Detach(peer)
 	e.relayer.PeerUp(peer)
 	e.coordinator.PeerUp(peer, session)
-	e.scheduleCancelDetached(peer)
+	time.AfterFunc(2*cancelDelay, func() { e.cancelDetached(peer, true) })
 	for _, n := range e.unsentNotices.take(peer) {
 		(*peers)(e).Notify(peer, n.GetJob())
 	}
@@ -142,21 +142,18 @@
 	e.coordinator.PeerDown(peer)
 	e.relayer.PeerDown(peer)
 	e.keeper.ResendClaims(peer)
-	e.scheduleCancelDetached(peer)
+	time.AfterFunc(cancelDelay, func() { e.cancelDetached(peer, false) })
 }
 
-// scheduleCancelDetached has the runs stopped that a peer does not need any more, after
-// its connection was lost or established.
-func (e *Entry) scheduleCancelDetached(peer string) {
-	time.AfterFunc(cancelDelay, func() { e.cancelDetached(peer) })
-	time.AfterFunc(2*cancelDelay, func() { e.cancelDetached(peer) })
-}
-
-// cancelDetached stops the detached runs of a peer. A peer that is connected again gets
-// more time to attach to them.
-func (e *Entry) cancelDetached(peer string) {
+// cancelDetached stops the detached runs of a peer that it does not need any more. It is
+// called cancelDelay after the connection was lost, and 2*cancelDelay after one was
+// established, in which the peer attaches to its runs.
+func (e *Entry) cancelDetached(peer string, reconnected bool) {
 	now := time.Now()
 	_, down := e.down.Load(peer)
+	if !down && !reconnected {
+		return
+	}
 	by := now.Add(-2 * cancelDelay)
 	if down {
 		by = now.Add(-cancelDelay)
--- a/radishweir/internal/composer/peers_test.go
+++ b/radishweir/internal/composer/peers_test.go
@@ -150,3 +150,32 @@
 		time.Sleep(2 * simulator.LateBy)
 	})
 }
+
+// The deadlines of the loss of a connection don't apply to the next connection.
+func TestKeptRunsGetTimeToAttachAfterReconnection(t *testing.T) {
+	for _, down := range []time.Duration{200 * time.Millisecond, 290 * time.Millisecond, 3 * time.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := simulator.New()
+				f.Amount = packer.Amount{CPU: 1000, Memory: 1}
+				f.RunTime = func(string) time.Duration { return 10 * time.Minute }
+				f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
+				e := newOwner(ctx, t, f)
+				e.Frame("entry-2", request(false, "entry-2@1", "a.0.0.0", "b.0.0.0"))
+				time.Sleep(50 * time.Millisecond)
+				e.Down("entry-2")
+				time.Sleep(down)
+				e.Up("entry-2", 2)
+				time.Sleep(2*cancelDelay - 20*time.Millisecond)
+				e.Frame("entry-2", request(true, "entry-2@1", "b.0.0.0"))
+				time.Sleep(500 * time.Millisecond)
+				if got := runningTasks(t, f); !slices.Equal(got, []string{"b.0.0.0"}) {
+					t.Errorf("running are %v, want the one that entry-2 attached to", got)
+				}
+				cancel()
+				time.Sleep(2 * simulator.LateBy)
+			})
+		})
+	}
+}
