--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -65,8 +65,9 @@
 		c.updateFit(j)
 		c.enqueue(j)
 	}
+	c.enqueueMessages(out)
 	c.mu.Unlock()
-	c.send(out)
+	c.sendQueued()
 	c.Wake()
 }
 
@@ -87,8 +88,9 @@
 	if j := c.jobs[id]; j != nil && j.kept() {
 		out = c.close(j, Answer{State: Cancelled, Reason: "released"})
 	}
+	c.enqueueMessages(out)
 	c.mu.Unlock()
-	c.send(out)
+	c.sendQueued()
 }
 
 // ReleaseEnds tells the owners of upstreams that ends are stored and may be
@@ -101,8 +103,9 @@
 			out = append(out, message{owner: s.owner, release: &wire.RunSafe{Upstream: e.Upstream, Task: e.Task, Run: e.Run}})
 		}
 	}
+	c.enqueueMessages(out)
 	c.mu.Unlock()
-	c.send(out)
+	c.sendQueued()
 }
 
 // MarkDone marks a task of a kept job as done, after a run that the coordinator no
@@ -124,8 +127,9 @@
 			out = append(out, c.endJob(j, Answer{State: Complete})...)
 		}
 	}
+	c.enqueueMessages(out)
 	c.mu.Unlock()
-	c.send(out)
+	c.sendQueued()
 	c.Wake()
 }
 
