--- a/radishweir/internal/composer/peers_test.go
+++ b/radishweir/internal/composer/peers_test.go
@@ -136,13 +136,7 @@
 func TestKeptRunsGetTimeToAttachAfterReconnection(t *testing.T) {
 	for _, down := range []time.Duration{200 * time.Millisecond, 290 * time.Millisecond, 3 * time.Second} {
 		t.Run(down.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := simulator.New()
-				f.Amount = packer.Amount{CPU: 1000, Memory: 1}
-				f.RunTime = func(string) time.Duration { return 10 * time.Minute }
-				f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
-				e := newOwner(ctx, t, f)
+			withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
 				e.Frame("entry-2", request(false, "entry-2@1", "a.0.0.0", "b.0.0.0"))
 				time.Sleep(50 * time.Millisecond)
 				e.Down("entry-2")
@@ -154,8 +148,6 @@
 				if got := runningTasks(t, f); !slices.Equal(got, []string{"b.0.0.0"}) {
 					t.Errorf("running are %v, want the one that entry-2 attached to", got)
 				}
-				cancel()
-				time.Sleep(2 * simulator.LateBy)
 			})
 		})
 	}
@@ -163,13 +155,7 @@
 
 // The owner notices a failure first and the requester sends requests until it does, too.
 func TestRunStopsThatWasRequestedOverAConnectionThatStaysDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := simulator.New()
-		f.Amount = packer.Amount{CPU: 1000, Memory: 1}
-		f.RunTime = func(string) time.Duration { return 10 * time.Minute }
-		f.Add(runner.Upstream{Name: "u1", Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
-		e := newOwner(ctx, t, f)
+	withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
 		e.Down("entry-2")
 		time.Sleep(100 * time.Millisecond)
 		e.Frame("entry-2", request(false, "", "a.0.0.0"))
@@ -177,7 +163,5 @@
 		if got := runningTasks(t, f); len(got) > 0 {
 			t.Errorf("running are %v, which entry-2 gives up without being able to cancel them", got)
 		}
-		cancel()
-		time.Sleep(2 * simulator.LateBy)
 	})
 }
