Give a silent upstream no runs until it answers again

Cause: an upstream whose runs were all lost is not polled any more, and when its ejection of 0.5 s is over it takes a new run as a probe. A crashed upstream is idle, so it is the first choice for whoever looks for an idle one; each such run is lost after 1.3 s. Ruled out: longer ejections, which would also keep an upstream away that is back. Change: a silent upstream is polled every 0.5 s also while it is idle, without a lease and without a longer ejection for each poll, and takes no run until it answers. Its owner tells all entries whether it answers and as which incarnation. Conclusion: a lost upstream costs the runs that it had, no others.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -155,12 +155,14 @@
 	now := time.Now()
 	return &wire.UpstreamState{
 		Upstream: h.upstream.Name, Free: AmountToWire(h.free), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
+		Incarnation: h.incarnation, Answering: h.synced && h.silence(now) == 0,
 	}
 }
 
 // usable reports whether new runs may be started; the caller holds the lock.
 func (h *ownedUpstream) usable(now time.Time) bool {
-	return h.synced && h.unverifiedSince.IsZero() && !h.stopsOverdue(now) && !h.released && !h.upstream.Leaving && h.admits(now, len(h.runs)) && !h.hasOrphans() &&
+	return h.synced && h.unverifiedSince.IsZero() && !h.stopsOverdue(now) && !h.released && !h.upstream.Leaving &&
+		!h.unresponsive(now) && h.admits(now, len(h.runs)) && !h.hasOrphans() &&
 		h.listedEnds()+uint64(len(h.runs)) < maxUnacknowledgedEnds
 }
 
--- a/lib/runner/poller.go
+++ b/lib/runner/poller.go
@@ -40,10 +40,11 @@
 }
 
 // waitIdle waits for a signal while the upstream has no runs, and reports whether a
-// separate poll must acknowledge ends first.
+// separate poll is due: to acknowledge ends, or to find out whether a silent upstream
+// answers again.
 func (h *ownedUpstream) waitIdle(ctx context.Context) bool {
 	h.mu.Lock()
-	due := h.unacknowledged && h.synced && h.token != h.refusedToken
+	due := (h.unacknowledged || h.silence(time.Now()) > 0) && h.synced && h.token != h.refusedToken
 	h.mu.Unlock()
 	var after <-chan time.Time
 	if due {
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -19,7 +19,9 @@
 		h.endAllAsLost("replaced by another upstream")
 		h.resetReports()
 	case 0:
-		h.recordNoAnswer(now)
+		if len(h.runs) > 0 || h.silence(now) == 0 {
+			h.recordNoAnswer(now)
+		}
 		// Before the first answer to a poll, the former owner may still be renewing
 		// the lease.
 		if h.synced && h.unresponsive(now) && now.After(h.leaseEnd) {
@@ -103,6 +105,9 @@
 		return
 	}
 	h.setClock(rep.Clock)
+	if h.silence(now) > 0 {
+		go h.runner.Changed(h.upstream.Name)
+	}
 	h.recordAnswer()
 	for _, e := range rep.Ended {
 		h.applyEnd(e, now)
