Fail a job whose task crashes the upstreams that start it

Cause: only ends "failed" count towards the limit of a job. A run that is lost with its upstream was started again at once, with no limit and no memory of it in the record of a kept job. Ruled out: a plain count of lost runs. Most runs on a crashed upstream are innocent, and an upstream that is only cut off looks the same for seconds. Change: the upstreams lost under a task are kept with it, and stored in the record of a kept job before the next start. A loss counts if the upstream had confirmed the run and was not leaving. Such a task, a suspect, starts next on an idle upstream and reserves all of it. A loss is dropped when the upstream answers again as the same incarnation, and is a crash when a later incarnation is there. Two crashes, one of them alone, fail the job; with two losses of unknown kind the task waits up to 10 s, and after a third one it is not started again until one of them is cleared.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -97,9 +97,11 @@
 	holder  string
 	waiting []*job
 	// upstreams holds the listed and the recently unlisted upstreams by name,
-	// services only the listed ones by service.
+	// services only the listed ones by service, and addresses those with the latest
+	// incarnation by address.
 	upstreams map[string]*upstreamState
 	services  map[string][]*upstreamState
+	addresses map[string]*upstreamState
 	peers     map[string]*peerState
 	kinds     map[string]*kindStats
 	// answered holds recently answered jobs by ID; purgedAt is the time of its last
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -57,11 +57,19 @@
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
 	inFlight packer.Amount
+	// incarnation is that of the owner's last report, 0 if unknown, and answering
+	// is true if the upstream answered the owner's last order or poll.
+	incarnation int64
+	answering   bool
 }
 
 // available is the free capacity that new requests may use.
 func (s *upstreamState) available() packer.Amount { return s.free.Minus(s.inFlight) }
 
+// latestIncarnation is the latest incarnation that the list or the owner told; 0 if
+// unknown.
+func (s *upstreamState) latestIncarnation() int64 { return max(s.Incarnation, s.incarnation) }
+
 // sentRequest is a run request that a peer has not received yet.
 type sentRequest struct {
 	number   uint64
@@ -243,6 +251,7 @@
 	c.mu.Lock()
 	upstreams := make(map[string]*upstreamState, len(list))
 	services := make(map[string][]*upstreamState)
+	addresses := make(map[string]*upstreamState, len(list))
 	for _, u := range list {
 		s := c.upstreams[u.Name]
 		if s == nil {
@@ -251,6 +260,9 @@
 		s.Upstream, s.unlistedSince = u, time.Time{}
 		upstreams[u.Name] = s
 		services[u.Service] = append(services[u.Service], s)
+		if a := addresses[u.Address]; a == nil || u.Incarnation > a.Incarnation {
+			addresses[u.Address] = s
+		}
 	}
 	now := time.Now()
 	for name, s := range c.upstreams {
@@ -264,7 +276,7 @@
 			upstreams[name] = s
 		}
 	}
-	c.upstreams, c.services = upstreams, services
+	c.upstreams, c.services, c.addresses = upstreams, services, addresses
 	c.fleetSeenAt = time.Time{}
 	c.mu.Unlock()
 	c.Wake()
@@ -308,6 +320,7 @@
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
 		s.slowness, s.updatedAt = u.GetSlowness(), time.Now()
+		s.incarnation, s.answering = u.GetIncarnation(), u.GetAnswering()
 	}
 	var out []message
 	if len(newOwner) > 0 {
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -68,6 +68,9 @@
 	Done []uint32
 	// Failures counts the earlier failed runs of a kept job by task number.
 	Failures map[uint32]uint32
+	// Lost holds the upstreams that went down under tasks of a kept job, by task
+	// number.
+	Lost map[uint32][]LostUpstream
 	// RunBase is the number below the first run number of a kept job's tasks.
 	RunBase uint64
 }
@@ -161,6 +164,20 @@
 	// avoid holds the names of upstreams on which a run of this task did not
 	// succeed.
 	avoid map[string]bool
+	// incarnation is that of the upstream of the last run, reserved the capacity
+	// taken for that run, and isolated is true if that is all of the upstream's.
+	incarnation int64
+	reserved    packer.Amount
+	isolated    bool
+	// lost are the upstreams that went down under the task and have not been found
+	// alive since. storingLoss is true while the last of them is not stored.
+	lost        []LostUpstream
+	storingLoss bool
+	// onHold is true while the lost upstreams forbid a start.
+	onHold bool
+	// isolateUntil is the time until which a suspect waits for an idle upstream;
+	// zero if it does not wait.
+	isolateUntil time.Time
 }
 
 // name returns the task's identifier at upstreams: job, occurrence (always 0),
@@ -189,6 +206,8 @@
 	started bool
 	// ran is true once a run has certainly started.
 	ran bool
+	// hasSuspects is true once an upstream went down under a task.
+	hasSuspects bool
 	// value is the value of the job per core-second, see kindStats.value.
 	value  float64
 	answer chan Answer
@@ -199,11 +218,12 @@
 // newJob opens a job. The run numbers of its tasks are higher than the given one.
 func newJob(j Job, run uint64) *job {
 	out := &job{Job: j, answer: make(chan Answer, 1), timeToEnd: j.timesToEnd(), remaining: make([]int, len(j.Steps)), firstTask: make([]int, len(j.Steps))}
+	out.hasSuspects = len(j.Lost) > 0
 	for s := range j.Steps {
 		out.remaining[s], out.firstTask[s] = j.Steps[s].Tasks, len(out.tasks)
 		for i := range j.Steps[s].Tasks {
 			n := len(out.tasks)
-			out.tasks = append(out.tasks, &task{job: out, stepIndex: s, index: i, number: n, run: run, failures: int(j.Failures[uint32(n)])})
+			out.tasks = append(out.tasks, &task{job: out, stepIndex: s, index: i, number: n, run: run, failures: int(j.Failures[uint32(n)]), lost: j.Lost[uint32(n)]})
 		}
 	}
 	for _, n := range j.Done {
@@ -232,7 +252,9 @@
 }
 
 // isWaiting reports whether a task waits for an upstream.
-func (t *task) isWaiting() bool { return !t.placed && !t.done && t.job.ready(t.stepIndex) }
+func (t *task) isWaiting() bool {
+	return !t.placed && !t.done && !t.onHold && t.job.ready(t.stepIndex)
+}
 
 // waitingTasks returns the tasks that wait for an upstream, ordered by step.
 func (j *job) waitingTasks() []*task {
@@ -247,8 +269,8 @@
 
 // hasWaitingTasks reports whether any task waits for an upstream.
 func (j *job) hasWaitingTasks() bool {
-	if len(j.Steps) == 1 {
-		return j.placed+j.done < len(j.tasks)
+	if j.placed+j.done == len(j.tasks) {
+		return false
 	}
 	for _, t := range j.tasks {
 		if t.isWaiting() {
--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -38,6 +38,9 @@
 	// TaskEnded reports that a run of a task is done or failed; index numbers the
 	// tasks over all steps. The keeper calls ReleaseEnds once that is stored.
 	TaskEnded(job string, index uint32, done bool, e End)
+	// UpstreamLost reports all upstreams lost under a task, numbered over all steps,
+	// after one more was lost. The keeper calls LossesStored once that is stored.
+	UpstreamLost(job string, index uint32, lost []LostUpstream)
 	// JobEnded reports that a job is Complete or Failed.
 	JobEnded(job string, s State)
 	// OrphanedEnd reports the end of a run that no placed task of this entry
@@ -61,6 +64,8 @@
 		out = c.endJob(j, Answer{State: Complete})
 	case j.failedTooOften():
 		out = c.endJob(j, Answer{State: Failed, Reason: "a task failed too often"})
+	case len(j.Lost) > 0:
+		j.started, j.ran = true, true
 	default:
 		c.enqueue(j)
 	}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -66,8 +66,9 @@
 // answered in time, and returns the time until the next pass is due.
 func (c *Coordinator) Pass(now time.Time) time.Duration {
 	c.mu.Lock()
-	c.takeSnapshots(now)
 	out := c.updateHolder()
+	out = append(out, c.reviewSuspects(now)...)
+	c.takeSnapshots(now)
 	out = append(out, c.answerExpired(now)...)
 	out = append(out, c.endLostRuns(now)...)
 	out = append(out, c.placeStarted(now)...)
@@ -114,6 +115,10 @@
 			if j.kept() {
 				remaining = lateKeptRemaining
 			}
+			if t.isSuspect() {
+				out = append(out, c.placeSuspect(t, remaining, now)...)
+				continue
+			}
 			if t.stepIndex == fullStep {
 				continue
 			}
@@ -246,6 +251,10 @@
 		j, st := t.job, t.step()
 		t.run++
 		t.upstream, t.owner, t.placed = name, s.owner, true
+		t.incarnation, t.reserved = s.latestIncarnation(), st.Need
+		if t.isolated {
+			t.reserved = s.Capacity
+		}
 		if l := c.peers[s.owner]; l != nil {
 			l.usedUntil = now.Add(farPeerPeriod)
 		}
@@ -268,7 +277,7 @@
 func (c *Coordinator) runRequest(t *task, attach bool) (message, bool) {
 	j, st, s := t.job, t.step(), c.upstreams[t.upstream]
 	q := &wire.RunRequest{
-		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.AmountToWire(st.Need),
+		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.AmountToWire(t.reserved),
 		ExpectedMs: float64(c.expectedOn(st, s).Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
 	}
 	if !attach {
@@ -281,13 +290,13 @@
 		}
 		l.lastNumber++
 		if !attach && s != nil {
-			s.inFlight = s.inFlight.Plus(st.Need)
-			l.inFlight = append(l.inFlight, sentRequest{l.lastNumber, s, st.Need})
+			s.inFlight = s.inFlight.Plus(t.reserved)
+			l.inFlight = append(l.inFlight, sentRequest{l.lastNumber, s, t.reserved})
 		}
 	} else if !attach && s != nil {
 		// This entry's runner reports the upstream's new state soon; until then the
 		// capacity is reserved here.
-		s.free = s.free.Minus(st.Need)
+		s.free = s.free.Minus(t.reserved)
 	}
 	return message{owner: t.owner, request: q}, true
 }
@@ -309,6 +318,9 @@
 	var out []message
 	switch t := c.placedTask(e); {
 	case t != nil && (t.owner == owner || reportedByUpstream(e.GetCause())):
+		if e.GetCause() == wire.RunEnd_lost && e.GetBegun() {
+			c.recordLoss(t, time.Now())
+		}
 		out = c.handleEnd(t, e)
 	case t == nil && c.Keeper != nil && isResult(e.GetCause()):
 		c.reportOrphanedEnd(e)
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -85,7 +85,7 @@
 	c.fleet.Kept = func(string) bool { return true }
 	for i := range upstreams {
 		c.fleet.Add(runner.Upstream{
-			Name: fmt.Sprintf("u%02d", i), Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 65536},
+			Name: fmt.Sprintf("u%02d", i), Service: "claims", Address: fmt.Sprintf("10.0.0.%d:8140", i+1), Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 65536},
 		}, 1)
 	}
 	for i := range entries {
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -70,6 +70,7 @@
 	SubmitKept(j coordinator.Job)
 	Release(id string)
 	ReleaseEnds(list []coordinator.End)
+	LossesStored(id string, tasks []uint32)
 	MarkDone(id string, number int)
 	MayHaveStarted(id string) bool
 	Refuses(j coordinator.Job) (coordinator.Answer, bool)
@@ -147,6 +148,10 @@
 	unwrittenEnds []coordinator.End
 	// pendingEnds are the ends in writes that have not succeeded yet.
 	pendingEnds []coordinator.End
+	// unwrittenLosses and pendingLosses are the same for the tasks under which an
+	// upstream was lost.
+	unwrittenLosses []uint32
+	pendingLosses   []uint32
 	// ready is closed once answer is set.
 	ready  chan struct{}
 	answer coordinator.Answer
--- a/lib/keeper/record.go
+++ b/lib/keeper/record.go
@@ -62,10 +62,29 @@
 		ID: id, Kind: r.GetQueue(), Service: r.GetService(), Spec: r.GetSpec(), Holder: r.GetHolder(),
 		Steps:   steps,
 		Arrived: time.UnixMilli(r.GetArrivedMs()), Due: time.UnixMilli(r.GetDueMs()),
-		MaxFailures: int(r.GetMaxFailures()), Done: r.GetDone(), Failures: r.GetFailures(), RunBase: uint64(r.GetTerm()) << termShift,
+		MaxFailures: int(r.GetMaxFailures()), Done: r.GetDone(), Failures: r.GetFailures(), Lost: lostUpstreams(r), RunBase: uint64(r.GetTerm()) << termShift,
 	}
 }
 
+// lostToWire converts an upstream lost under a task to its form in a record.
+func lostToWire(task uint32, l coordinator.LostUpstream) *wire.LostUpstream {
+	return &wire.LostUpstream{
+		Task: task, Upstream: l.Upstream, Address: l.Address, Incarnation: l.Incarnation, Isolated: l.Isolated, LostMs: l.At.UnixMilli(),
+	}
+}
+
+// lostUpstreams returns the upstreams lost under the tasks of a job by task number.
+func lostUpstreams(r *wire.KeptJob) map[uint32][]coordinator.LostUpstream {
+	out := make(map[uint32][]coordinator.LostUpstream)
+	for _, l := range r.GetLost() {
+		out[l.GetTask()] = append(out[l.GetTask()], coordinator.LostUpstream{
+			Upstream: l.GetUpstream(), Address: l.GetAddress(), Incarnation: l.GetIncarnation(), Isolated: l.GetIsolated(),
+			At: time.UnixMilli(l.GetLostMs()),
+		})
+	}
+	return out
+}
+
 // isConflict reports whether a write failed because another one came first.
 func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
 
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"radishweir.org/lib/coordinator"
@@ -52,6 +53,23 @@
 	j.record.Failures[index]++
 }
 
+// UpstreamLost implements coordinator.Keeper.
+func (k *Keeper) UpstreamLost(id string, index uint32, lost []coordinator.LostUpstream) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.jobs[id]
+	if j == nil {
+		return
+	}
+	j.record.Lost = slices.DeleteFunc(j.record.Lost, func(l *wire.LostUpstream) bool { return l.GetTask() == index })
+	for _, l := range lost {
+		j.record.Lost = append(j.record.Lost, lostToWire(index, l))
+	}
+	j.unwrittenLosses = append(j.unwrittenLosses, index)
+	j.dirty = true
+	k.flush(j)
+}
+
 // JobEnded implements coordinator.Keeper.
 func (k *Keeper) JobEnded(id string, s coordinator.State) {
 	k.mu.Lock()
@@ -76,9 +94,10 @@
 	}
 	j.writing, j.dirty = true, false
 	j.pendingEnds, j.unwrittenEnds = append(j.pendingEnds, j.unwrittenEnds...), nil
+	j.pendingLosses, j.unwrittenLosses = append(j.pendingLosses, j.unwrittenLosses...), nil
 	if j.record.GetState() != wire.KeptJob_open {
 		// An ended job is never run again, so these fields are not needed.
-		j.record.Spec, j.record.Done, j.record.Failures = "", nil, nil
+		j.record.Spec, j.record.Done, j.record.Failures, j.record.Lost = "", nil, nil, nil
 	}
 	state := j.record.GetState()
 	w := platform.Write{Key: Prefix + j.id, Value: encode(j.record), Expected: j.revision}
@@ -91,14 +110,17 @@
 	j.writing = false
 	switch {
 	case err == nil:
-		written := j.pendingEnds
-		j.revision, j.storedState, j.pendingEnds = revision, state, nil
+		written, losses := j.pendingEnds, j.pendingLosses
+		j.revision, j.storedState, j.pendingEnds, j.pendingLosses = revision, state, nil, nil
 		k.flush(j)
 		if state != wire.KeptJob_open && !j.writing {
 			time.AfterFunc(outcomeRetention, func() { k.removeRecord(j) })
 		}
 		k.mu.Unlock()
 		k.Jobs.ReleaseEnds(written)
+		if len(losses) > 0 {
+			k.Jobs.LossesStored(j.id, losses)
+		}
 	case isConflict(err):
 		// The unwritten changes stay queued. reloadRecord either writes them at the
 		// current revision or drops the job.
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -325,7 +325,7 @@
 	}
 	if r.requester != "" {
 		// The requester may call back into this upstream.
-		go h.runner.reportEnd(r.requester, r.request, cause)
+		go h.runner.sendEnd(r.requester, r.request, cause, r.phase == running)
 	}
 	go h.runner.Changed(h.upstream.Name)
 }
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -304,12 +304,18 @@
 
 // reportEnd tells a requester that its run has finished, and why.
 func (r *Runner) reportEnd(requester string, q *wire.RunRequest, cause wire.RunEnd_Cause) {
+	r.sendEnd(requester, q, cause, false)
+}
+
+// sendEnd is like reportEnd, and also tells whether the upstream is known to have
+// started the run.
+func (r *Runner) sendEnd(requester string, q *wire.RunRequest, cause wire.RunEnd_Cause, begun bool) {
 	if requester == "" {
 		return
 	}
 	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
 		Str("requester", requester).Stringer("cause", cause).Msg("run_ended")
-	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause, Holder: q.GetHolder()})
+	r.Ended(requester, &wire.RunEnd{Task: q.GetTask(), Run: q.GetRun(), Upstream: q.GetUpstream(), Cause: cause, Holder: q.GetHolder(), Begun: begun})
 }
 
 // AmountFromWire converts an amount from its wire form.
--- a/lib/simulator/simulator.go
+++ b/lib/simulator/simulator.go
@@ -28,6 +28,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -131,6 +132,11 @@
 	RunTime func(task string) time.Duration
 	// Amount is the capacity that each task takes.
 	Amount packer.Amount
+	// Deadly reports whether a task crashes each upstream that starts it; nil means
+	// that no task does.
+	Deadly func(task string) bool
+	// Renames makes a crashed upstream come back under another name at its address.
+	Renames bool
 	// Kept reports whether a task belongs to a kept job: it must not start again
 	// after an owner has acknowledged its success. nil means that no task does.
 	Kept func(task string) bool
@@ -171,7 +177,11 @@
 func (f *Fleet) Restart(name string, incarnation int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.upstreams[name]
+	f.restart(f.upstreams[name], incarnation)
+}
+
+// restart is Restart for a caller that holds the lock.
+func (f *Fleet) restart(u *Upstream, incarnation int64) {
 	for k, r := range u.runs {
 		r.timer.Stop()
 		f.running[k.task]--
@@ -186,6 +196,52 @@
 	u.changed = make(chan struct{})
 }
 
+// crashAfter is the time from the start of a deadly task to the crash, silentFor the
+// time from the crash of an upstream to its next incarnation.
+const (
+	crashAfter = 10 * time.Millisecond
+	silentFor  = 3 * time.Second
+)
+
+// Crash ends an upstream. It is silent for silentFor and then back with a new
+// incarnation that knows nothing.
+func (f *Fleet) Crash(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.upstreams[name]
+	if u == nil || u.Unreachable {
+		return
+	}
+	f.restart(u, u.Incarnation)
+	u.Unreachable = true
+	time.AfterFunc(silentFor, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		u.Unreachable, u.createdAt = false, time.Now()
+		u.Incarnation++
+		if f.Renames {
+			delete(f.upstreams, u.Name)
+			base, _, _ := strings.Cut(u.Name, "-")
+			u.Name = fmt.Sprintf("%s-%d", base, u.Incarnation)
+			f.upstreams[u.Name] = u
+		}
+	})
+}
+
+// Remove removes an upstream for good, with its registration.
+func (f *Fleet) Remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.upstreams, name)
+}
+
+// SetDeadly replaces Deadly. It may be called at any time.
+func (f *Fleet) SetDeadly(deadly func(task string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Deadly = deadly
+}
+
 // SetFault replaces Fault. It may be called at any time.
 func (f *Fleet) SetFault(fault func(op Operation, upstream string) Fault) {
 	f.mu.Lock()
@@ -359,6 +415,9 @@
 	f.starts[o.Task]++
 	f.checkStart(o.Task)
 	u.Started++
+	if f.Deadly != nil && f.Deadly(o.Task) {
+		time.AfterFunc(crashAfter, func() { f.Crash(u.Name) })
+	}
 	r := &activeRun{runKey: k, amount: f.Amount, startedAt: time.Now()}
 	u.runs[k] = r
 	r.runTime = time.Duration(float64(f.RunTime(o.Task)) * u.Slowness)
