End the runs on an upstream that is gone with nobody to report it

Cause: an owner that never got an answer reports no run as lost, as a former owner may still renew the lease. If an upstream and its owner die together, the next owner gets no answer, gives the upstream up when its registration lapses, and the coordinator waits for an end that nobody will report. Ruled out: letting the new owner report the loss after a time, as it can't know who renews the lease. Change: the coordinator ends a run as lost when no entry owns its upstream and the upstream has been off the list for 10 s, the time after which it was forgotten before, or a later incarnation is listed at its address. An upstream that an entry still owns is not forgotten. Evidence: TestRunAtVanishedUpstreamIsStartedAgain failed before ("last state running") and passes now.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -272,7 +272,7 @@
 		if s.unlistedSince.IsZero() {
 			s.unlistedSince = now
 		}
-		if now.Sub(s.unlistedSince) < unlistedRetention {
+		if now.Sub(s.unlistedSince) < unlistedRetention || s.stateKnown {
 			upstreams[name] = s
 		}
 	}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -71,6 +71,9 @@
 	c.takeSnapshots(now)
 	out = append(out, c.answerExpired(now)...)
 	out = append(out, c.endLostRuns(now)...)
+	if c.fleetSeenAt.Equal(now) {
+		out = append(out, c.endRunsAtVanished(now)...)
+	}
 	out = append(out, c.placeStarted(now)...)
 	out = append(out, c.startWaiting(now)...)
 	next := c.untilNextPass(now)
--- a/lib/keeper/deadly_test.go
+++ b/lib/keeper/deadly_test.go
@@ -164,3 +164,29 @@
 		c.checkJobs(accepted, nil, 40*time.Second)
 	})
 }
+
+// A run must be started again if its upstream and the owner of that upstream go down
+// together, and the upstream never comes back under its name.
+func TestRunAtVanishedUpstreamIsStartedAgain(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 9, 3, 6)
+		defer c.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c.followList(ctx)
+		c.fleet.SetRunTime(func(string) time.Duration { return 2 * time.Second })
+		n := c.alive()[0]
+		if s := n.submit("a", 8); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(300 * time.Millisecond)
+		victim := c.alive()[2]
+		for _, s := range victim.runner.States() {
+			c.fleet.Update(s.GetUpstream(), func(u *simulator.Upstream) { u.Unreachable = true })
+			time.AfterFunc(4500*time.Millisecond, func() { c.fleet.Remove(s.GetUpstream()) })
+		}
+		c.kill(victim.name)
+		time.AfterFunc(500*time.Millisecond, func() { c.start(victim.name) })
+		c.checkJobs([]string{"a"}, nil, 30*time.Second)
+	})
+}
