Follow up the runs on an upstream that its owner gave up and took again

Cause: an upstream that is cut off from the store vanishes from the list, and its owner gives it up and forgets the runs there. When it is listed again while no entry came or went, the same entry owns it again with the same token. Coordinators ask for their runs only when a token grows, so the owner finds runs of unknown requesters, stops them, and tells nobody. Ruled out: asking at each report of the owner, as a request may overtake the start that it asks for. Change: an owner's report that it owns an upstream which it had given up counts as a new claim, and its runs are asked for. Evidence: TestRunAtUpstreamListedAgainIsFollowedUp failed before ("got no answer" after 17 s for a task of 4 s) and passes now. The clusters of the keeper's tests raise the token with each change of the list, so they could not show it.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -50,9 +50,12 @@
 	// stateKnown is true while the owner's last report (free, slowness and
 	// usable) is valid.
 	stateKnown bool
-	free       packer.Amount
-	slowness   float64
-	usable     bool
+	// givenUp is true once the owner reported that it no longer owns the upstream,
+	// until an entry claims it again.
+	givenUp  bool
+	free     packer.Amount
+	slowness float64
+	usable   bool
 	// updatedAt is the time of the owner's last report.
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
@@ -290,9 +293,14 @@
 func (c *Coordinator) UpdateStates(owner string, whole bool, list []*wire.UpstreamState) {
 	c.mu.Lock()
 	if whole {
+		owned := make(map[string]bool, len(list))
+		for _, u := range list {
+			owned[u.GetUpstream()] = true
+		}
 		for _, s := range c.upstreams {
 			if s.owner == owner {
 				s.stateKnown = false
+				s.givenUp = s.givenUp || !owned[s.Name]
 			}
 		}
 	}
@@ -311,11 +319,12 @@
 			s.owner = owner
 			newOwner[s.Name] = true
 		}
-		if s.token != 0 && u.GetToken() > s.token {
-			// The owner restarted, or was fenced off and has claimed the
-			// upstream again.
+		if s.token != 0 && (u.GetToken() > s.token || (s.givenUp && u.GetToken() != 0)) {
+			// The owner restarted, or was fenced off or gave the upstream up, and has
+			// claimed it again. It knows no requester of the runs there.
 			newOwner[s.Name] = true
 		}
+		s.givenUp = u.GetToken() == 0
 		s.stateKnown, s.usable = u.GetToken() != 0, u.GetUsable()
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
