Let a former owner's claim hold again once the later owner gave up

Cause: while a failure domain is cut off, an entry outside claims its upstreams with a higher token, reaches none of them, and gives them up when their registrations lapse. The owner inside has served them all the while under its token, which no upstream refused. Back in touch, the others ignored it, as they kept the highest token that they had seen, also of a claim that was given up: its upstreams got no runs from them, and the runs there were never asked for. Ruled out: a new token for all upstreams of an entry with each change of the registrations, after which all entries would ask for all their runs. Change: the claim ends when its owner gives it up; the next claim holds whatever its token. Upstreams go on refusing lower tokens than they have seen. Evidence: TestFormerOwnerIsKnownAgainAfterLaterOneGaveUp failed before (owner entry-3, not usable) and passes now.

--- a/lib/coordinator/claims_test.go
+++ b/lib/coordinator/claims_test.go
@@ -35,3 +35,32 @@
 		t.Errorf("after the upstream was unlisted for a moment: Views = %+v, want entry-2 as its owner", views)
 	}
 }
+
+// When an entry gives an upstream up that it claimed while the failure domain of the former
+// owner was cut off, the former owner's claim must hold again, although its token is lower.
+func TestFormerOwnerIsKnownAgainAfterLaterOneGaveUp(t *testing.T) {
+	c := &coordinator.Coordinator{Self: "entry-1", Remote: noPeers{}, Log: zerolog.Nop()}
+	c.Init(t.Context())
+	free := packer.Amount{CPU: 16000, Memory: 65536}
+	c.SetUpstreams([]runner.Upstream{{Name: "u1", Service: "claims", Capacity: free}})
+	c.PeerUp("entry-2", 1)
+	c.PeerUp("entry-3", 1)
+	report := func(owner string, token int64) {
+		c.UpdateStates(owner, false, []*wire.UpstreamState{{Upstream: "u1", Token: token, Usable: token != 0, Free: runner.AmountToWire(free), Slowness: 1}})
+	}
+	report("entry-2", 5)
+	report("entry-3", 9)
+	report("entry-2", 5)
+	if v := c.Views(); v[0].Owner != "entry-3" {
+		t.Errorf("owner %s after a higher claim, want entry-3", v[0].Owner)
+	}
+	report("entry-3", 0)
+	report("entry-2", 5)
+	if v := c.Views(); v[0].Owner != "entry-2" || !v[0].Usable {
+		t.Errorf("Views = %+v after the higher claim was given up, want entry-2 as the owner", v)
+	}
+	report("entry-3", 9)
+	if v := c.Views(); v[0].Owner != "entry-3" {
+		t.Errorf("owner %s after a new higher claim, want entry-3", v[0].Owner)
+	}
+}
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -313,10 +313,12 @@
 			c.upstreams[s.Name] = s
 		}
 		if s.owner != owner {
-			if u.GetToken() <= s.token {
+			// A claim holds until a higher one comes or its owner gives it up: the former
+			// owner may have served the upstream all the while.
+			if u.GetToken() == 0 || (u.GetToken() <= s.token && !s.givenUp) {
 				continue
 			}
-			s.owner = owner
+			s.owner, s.token = owner, u.GetToken()
 			newOwner[s.Name] = true
 		}
 		if s.token != 0 && (u.GetToken() > s.token || (s.givenUp && u.GetToken() != 0)) {
