--- a/radishweirctl/internal/explainer/causes.go
+++ b/radishweirctl/internal/explainer/causes.go
@@ -20,6 +20,10 @@
 		"refused", "no upstream is large enough", "it fits no listed upstream, or none is listed",
 		"radishweir_upstream_list_age_seconds and the job's declared needs",
 	},
+	{
+		"failed", "upstreams crash under a task", "upstreams crashed under one of its tasks, one of them with nothing else on it",
+		"upstream_lost_under_task and upstream_crashed_under_task of the job",
+	},
 	{
 		"failed", "", "a task failed as often as its queue allows",
 		"missed_at: the same upstreams for many jobs point at these, different ones at the job",
--- a/radishweirctl/internal/explainer/explainer.go
+++ b/radishweirctl/internal/explainer/explainer.go
@@ -41,6 +41,8 @@
 	"upstream_ejected": "an upstream gets no new runs", "upstream_admitted": "an upstream gets runs again",
 	"upstream_gone": "an upstream is no longer listed", "upstream_restarted": "an upstream restarted under its name",
 	"runs_lost": "runs were lost with their upstream", "stop_refused": "an upstream refused to stop a run",
+	"upstream_lost_under_task":    "an upstream went down under a task",
+	"upstream_crashed_under_task": "an upstream crashed under a task", "lost_upstream_alive": "an upstream was only cut off",
 	"stop_overdue":           "an upstream did not stop a run",
 	"detached_runs_stopped":  "runs were stopped whose requester was gone",
 	"configuration_in_force": "a configuration came into force", "settings_in_force": "settings changed",
