--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -102,8 +102,10 @@
 	upstreams map[string]*upstreamState
 	services  map[string][]*upstreamState
 	addresses map[string]*upstreamState
-	peers     map[string]*peerState
-	kinds     map[string]*kindStats
+	// hasUnlisted is true while upstreams may hold one that is not listed.
+	hasUnlisted bool
+	peers       map[string]*peerState
+	kinds       map[string]*kindStats
 	// answered holds recently answered jobs by ID; purgedAt is the time of its last
 	// purge.
 	answered map[string]answeredJob
@@ -204,9 +206,10 @@
 			return earlier.answer
 		}
 		j = newJob(in, earlier.lastRun)
-		if !c.fitsAnyUpstream(j) {
+		c.updateFit(j)
+		if !j.fitsUpstreams() {
 			defer c.mu.Unlock()
-			return c.refuse(j, "no upstream is large enough")
+			return c.refuse(j, noLargeUpstream)
 		}
 		c.jobs[j.ID] = j
 		c.enqueue(j)
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -44,18 +44,18 @@
 	// unlistedSince is the time at which the upstream vanished from the list;
 	// zero while it is listed.
 	unlistedSince time.Time
+	// releasedAt is the time at which the owner gave the upstream up; zero while it
+	// owns it.
+	releasedAt time.Time
 	// owner is the entry that claimed the upstream with the highest token.
 	owner string
 	token int64
 	// stateKnown is true while the owner's last report (free, slowness and
 	// usable) is valid.
 	stateKnown bool
-	// givenUp is true once the owner reported that it no longer owns the upstream,
-	// until an entry claims it again.
-	givenUp  bool
-	free     packer.Amount
-	slowness float64
-	usable   bool
+	free       packer.Amount
+	slowness   float64
+	usable     bool
 	// updatedAt is the time of the owner's last report.
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
@@ -234,18 +234,15 @@
 	return n
 }
 
-// fitsAnyUpstream reports whether for each step of the job there is an upstream that
-// could run one of its tasks if it were idle.
-func (c *Coordinator) fitsAnyUpstream(j *job) bool {
+// updateFit determines for each step of the job whether there is an upstream that could
+// run one of its tasks if it were idle; the caller holds the lock.
+func (c *Coordinator) updateFit(j *job) {
 	for i := range j.Steps {
 		st := &j.Steps[i]
-		if !slices.ContainsFunc(c.services[j.Service], func(s *upstreamState) bool {
+		j.fits[i] = slices.ContainsFunc(c.services[j.Service], func(s *upstreamState) bool {
 			return s.Capacity.Holds(st.Need) && (st.Label == "" || s.HasLabel(st.Label))
-		}) {
-			return false
-		}
+		})
 	}
-	return true
 }
 
 // SetUpstreams replaces the list of upstreams. Their owners are learned through
@@ -268,6 +265,7 @@
 		}
 	}
 	now := time.Now()
+	c.hasUnlisted = false
 	for name, s := range c.upstreams {
 		if upstreams[name] != nil {
 			continue
@@ -277,9 +275,13 @@
 		}
 		if now.Sub(s.unlistedSince) < unlistedRetention || s.stateKnown {
 			upstreams[name] = s
+			c.hasUnlisted = true
 		}
 	}
 	c.upstreams, c.services, c.addresses = upstreams, services, addresses
+	for _, j := range c.jobs {
+		c.updateFit(j)
+	}
 	c.fleetSeenAt = time.Time{}
 	c.mu.Unlock()
 	c.Wake()
@@ -293,16 +295,7 @@
 func (c *Coordinator) UpdateStates(owner string, whole bool, list []*wire.UpstreamState) {
 	c.mu.Lock()
 	if whole {
-		owned := make(map[string]bool, len(list))
-		for _, u := range list {
-			owned[u.GetUpstream()] = true
-		}
-		for _, s := range c.upstreams {
-			if s.owner == owner {
-				s.stateKnown = false
-				s.givenUp = s.givenUp || !owned[s.Name]
-			}
-		}
+		c.releaseUnclaimed(owner, list)
 	}
 	newOwner := make(map[string]bool)
 	for _, u := range list {
@@ -311,23 +304,32 @@
 			// The owner may have read the list from the store before this entry did.
 			s = &upstreamState{Upstream: runner.Upstream{Name: u.GetUpstream()}, unlistedSince: time.Now()}
 			c.upstreams[s.Name] = s
+			c.hasUnlisted = true
 		}
 		if s.owner != owner {
 			// A claim holds until a higher one comes or its owner gives it up: the former
 			// owner may have served the upstream all the while.
-			if u.GetToken() == 0 || (u.GetToken() <= s.token && !s.givenUp) {
+			if u.GetToken() == 0 || (u.GetToken() <= s.token && s.releasedAt.IsZero()) {
 				continue
 			}
 			s.owner, s.token = owner, u.GetToken()
 			newOwner[s.Name] = true
 		}
-		if s.token != 0 && (u.GetToken() > s.token || (s.givenUp && u.GetToken() != 0)) {
-			// The owner restarted, or was fenced off or gave the upstream up, and has
-			// claimed it again. It knows no requester of the runs there.
+		if s.token != 0 && u.GetToken() > s.token {
+			// The owner restarted, or was fenced off and has claimed the
+			// upstream again.
 			newOwner[s.Name] = true
 		}
-		s.givenUp = u.GetToken() == 0
-		s.stateKnown, s.usable = u.GetToken() != 0, u.GetUsable()
+		if u.GetToken() == 0 {
+			s.release()
+			continue
+		}
+		if !s.releasedAt.IsZero() {
+			// The owner knows nothing of the runs from before it gave the upstream up.
+			newOwner[s.Name] = true
+			s.releasedAt = time.Time{}
+		}
+		s.stateKnown, s.usable = true, u.GetUsable()
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
 		s.slowness, s.updatedAt = u.GetSlowness(), time.Now()
@@ -346,6 +348,28 @@
 	}
 }
 
+// releaseUnclaimed marks the upstreams of an owner that are not in the list of all its
+// upstreams as given up; the caller holds the lock.
+func (c *Coordinator) releaseUnclaimed(owner string, list []*wire.UpstreamState) {
+	claimed := make(map[string]bool, len(list))
+	for _, u := range list {
+		claimed[u.GetUpstream()] = true
+	}
+	for _, s := range c.upstreams {
+		if s.owner == owner && !claimed[s.Name] {
+			s.release()
+		}
+	}
+}
+
+// release records that the owner has given the upstream up.
+func (s *upstreamState) release() {
+	s.stateKnown = false
+	if s.releasedAt.IsZero() {
+		s.releasedAt = time.Now()
+	}
+}
+
 // RequestsReceived records that a peer received the requests of a session up to
 // a number.
 func (c *Coordinator) RequestsReceived(peer string, session, number uint64) {
@@ -384,8 +408,9 @@
 	}
 }
 
-// endLostRuns ends the runs at peers that have been down for lostAfter; the caller
-// holds the lock.
+// endLostRuns ends the runs at peers that have been down for lostAfter. A peer may
+// claim a run while it counts as down, and was alive at that time. The caller holds the
+// lock.
 func (c *Coordinator) endLostRuns(now time.Time) []message {
 	var out []message
 	for name, l := range c.peers {
@@ -395,18 +420,59 @@
 		l.runsLostAt = time.Time{}
 		for _, j := range c.jobs {
 			for _, t := range j.tasks {
-				if t.placed && t.owner == name && j.kept() && c.upstreams[t.upstream] != nil {
+				if !t.placed || t.owner != name {
+					continue
+				}
+				at := t.ownedAt.Add(c.lostAfter())
+				if j.kept() && c.upstreams[t.upstream] != nil {
 					// The peer may still be alive and know the end of the run.
 					// The next owner of the upstream asks the upstream for it,
 					// or the peer reports it when it is connected again.
-					l.runsLostAt = now.Add(keptRecheckInterval)
-					continue
+					at = now.Add(keptRecheckInterval)
 				}
-				if t.placed && t.owner == name {
-					out = append(out, c.handleEnd(t, &wire.RunEnd{
-						Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
-					})...)
+				if now.Before(at) {
+					l.recheck(at)
+					continue
 				}
+				out = append(out, c.handleEnd(t, &wire.RunEnd{
+					Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
+				})...)
+			}
+		}
+	}
+	return out
+}
+
+// recheck moves runsLostAt to the given time unless it is earlier.
+func (l *peerState) recheck(at time.Time) {
+	if l.runsLostAt.IsZero() || at.Before(l.runsLostAt) {
+		l.runsLostAt = at
+	}
+}
+
+// endUnlistedRuns ends the runs on upstreams that are no longer listed and that their
+// owners gave up so long ago that all leases there have expired; the caller holds the
+// lock.
+func (c *Coordinator) endUnlistedRuns(now time.Time) []message {
+	if !c.hasUnlisted {
+		return nil
+	}
+	over := make(map[string]bool)
+	for name, s := range c.upstreams {
+		if !s.unlistedSince.IsZero() && !s.releasedAt.IsZero() && now.Sub(s.releasedAt) >= c.lostAfter() {
+			over[name] = true
+		}
+	}
+	if len(over) == 0 {
+		return nil
+	}
+	var out []message
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.placed && over[t.upstream] {
+				out = append(out, c.handleEnd(t, &wire.RunEnd{
+					Task: t.name(), Run: t.run, Upstream: t.upstream, Cause: wire.RunEnd_lost,
+				})...)
 			}
 		}
 	}
@@ -423,7 +489,7 @@
 				continue
 			}
 			if s := c.upstreams[t.upstream]; s != nil {
-				t.owner = s.owner
+				t.owner, t.ownedAt = s.owner, time.Now()
 			}
 			if m, ok := c.runRequest(t, true); ok {
 				out = append(out, m)
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -158,6 +158,8 @@
 	run      uint64
 	upstream string
 	owner    string
+	// ownedAt is when the owner became known as the one of the run.
+	ownedAt  time.Time
 	placed   bool
 	done     bool
 	failures int
@@ -201,6 +203,8 @@
 	timeToEnd []time.Duration
 	// firstTask is the number of the first task of each step.
 	firstTask []int
+	// fits is true for each step whose tasks fit an idle upstream.
+	fits []bool
 	// started is true while a task may have been started; such a job is never
 	// refused.
 	started bool
@@ -217,7 +221,7 @@
 
 // newJob opens a job. The run numbers of its tasks are higher than the given one.
 func newJob(j Job, run uint64) *job {
-	out := &job{Job: j, answer: make(chan Answer, 1), timeToEnd: j.timesToEnd(), remaining: make([]int, len(j.Steps)), firstTask: make([]int, len(j.Steps))}
+	out := &job{Job: j, answer: make(chan Answer, 1), timeToEnd: j.timesToEnd(), remaining: make([]int, len(j.Steps)), firstTask: make([]int, len(j.Steps)), fits: make([]bool, len(j.Steps))}
 	out.hasSuspects = len(j.Lost) > 0
 	for s := range j.Steps {
 		out.remaining[s], out.firstTask[s] = j.Steps[s].Tasks, len(out.tasks)
@@ -251,6 +255,17 @@
 	return true
 }
 
+// fitsUpstreams reports whether the tasks of all steps that are not done fit an idle
+// upstream.
+func (j *job) fitsUpstreams() bool {
+	for s, n := range j.remaining {
+		if n > 0 && !j.fits[s] {
+			return false
+		}
+	}
+	return true
+}
+
 // isWaiting reports whether a task waits for an upstream.
 func (t *task) isWaiting() bool {
 	return !t.placed && !t.done && !t.onHold && t.job.ready(t.stepIndex)
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"radishweir.org/lib/wire"
@@ -20,6 +22,8 @@
 	variableInterval bool
 	// requests counts the run requests that the handler has processed.
 	requests uint64
+	// done is closed after the last frame of the connection was processed.
+	done chan struct{}
 }
 
 // readLimits limits the size of a received message.
@@ -37,9 +41,10 @@
 		m.Log.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("peer_hello_unreadable")
 		return
 	}
-	in := &incoming{conn: c, session: hello.GetSession(), variableInterval: hello.GetVariableInterval()}
+	in := &incoming{conn: c, session: hello.GetSession(), variableInterval: hello.GetVariableInterval(), done: make(chan struct{})}
 	m.addIncoming(ctx, hello, in)
 	err := m.readFrames(r, hello.GetName(), in)
+	close(in.done)
 	m.removeIncoming(hello.GetName(), in, err)
 }
 
@@ -50,6 +55,9 @@
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
+		if age := frameAge(f); age > maxFrameAge {
+			return errors.Errorf("a frame is %v old", age)
+		}
 		p := m.peer(name)
 		if p != nil {
 			p.handleReceived(in, f)
@@ -87,8 +95,8 @@
 	}
 }
 
-// addIncoming registers a peer's connection, replacing any earlier one, and
-// starts dialling the peer if it was unknown.
+// addIncoming registers a peer's connection, replacing any earlier one whose frames
+// are processed first, and starts dialling the peer if it was unknown.
 func (m *Messenger) addIncoming(ctx context.Context, hello *wire.PeerHello, in *incoming) {
 	name := hello.GetName()
 	m.mu.Lock()
@@ -98,6 +106,7 @@
 	m.mu.Unlock()
 	if old != nil {
 		_ = old.conn.Close()
+		<-old.done
 		if p != nil {
 			p.setIncoming(nil)
 		}
@@ -133,3 +142,24 @@
 	}
 	return 0, 0
 }
+
+// frameAge returns an upper bound of the time since a received frame was sent: the time
+// since this entry sent the last frame that the sender had received by then. It is 0 if
+// there was none.
+func frameAge(f *wire.PeerFrame) time.Duration {
+	if f.GetEchoMs() == 0 {
+		return 0
+	}
+	return time.Duration(uptime()-f.GetEchoMs()) * time.Millisecond
+}
+
+// uptime returns the time since the VM was started in milliseconds, those included in
+// which it was suspended.
+func uptime() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Every Linux kernel that Go supports has this clock.
+		panic(err)
+	}
+	return t.Nano() / int64(time.Millisecond)
+}
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -56,7 +56,10 @@
 // lost connection and for the entry that takes over a job.
 type recentEnd struct {
 	cause   wire.RunEnd_Cause
+	endedAt time.Time
 	expires time.Time
+	// listed is true if the upstream itself listed the end.
+	listed bool
 }
 
 // ownedUpstream is the state of one upstream that this entry owns.
@@ -102,9 +105,12 @@
 	// clock is the upstream's clock in milliseconds as of clockAt.
 	clock   int64
 	clockAt time.Time
+	// clockDue is when the clock of an idle upstream is read again.
+	clockDue time.Time
 	// leaseEnd is the time at which all runs have certainly ended unless another
 	// order or poll renews the lease.
 	leaseEnd time.Time
+	room     room
 	health
 }
 
@@ -124,7 +130,10 @@
 	if u.Incarnation != old.Incarnation && u.Incarnation != h.incarnation {
 		h.unverifiedSince = time.Now()
 	}
-	h.free = h.free.Plus(u.Capacity).Minus(old.Capacity)
+	if u.Capacity != old.Capacity {
+		h.restoreRoom()
+		h.free = h.free.Plus(u.Capacity).Minus(old.Capacity)
+	}
 	h.mu.Unlock()
 	h.signal()
 	if old != u {
@@ -154,7 +163,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	return &wire.UpstreamState{
-		Upstream: h.upstream.Name, Free: AmountToWire(h.free), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
+		Upstream: h.upstream.Name, Free: AmountToWire(h.available()), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
 		Incarnation: h.incarnation, Answering: h.synced && h.silence(now) == 0,
 	}
 }
@@ -225,7 +234,7 @@
 		return wire.RunEnd_refused
 	case h.runs[k] != nil:
 		return wire.RunEnd_superseded
-	case !h.free.Holds(amount):
+	case !h.available().Holds(amount):
 		return wire.RunEnd_no_room
 	}
 	return 0
@@ -238,7 +247,14 @@
 	if until.After(h.leaseEnd) {
 		h.leaseEnd = until
 	}
-	return h.clock + now.Sub(h.clockAt).Milliseconds() + LeaseTTL.Milliseconds()
+	return h.minClock(now) + LeaseTTL.Milliseconds()
+}
+
+// minClock returns the least time that the upstream's clock may show; the caller holds
+// the lock. A later one would let an order that is delayed begin a lease beyond
+// leaseEnd.
+func (h *ownedUpstream) minClock(now time.Time) int64 {
+	return h.clock + int64(float64(now.Sub(h.clockAt).Milliseconds())*(1-maxClockLag))
 }
 
 // sendStart sends the start of a run and processes the answer.
@@ -270,18 +286,23 @@
 		if r.phase != running {
 			r.phase, r.confirmedAt = running, time.Now()
 		}
+		h.endRoomCheck()
 		h.scheduleOverduePoll(ctx, k, r, time.Now())
 	case why == 0:
 		if r.phase == starting {
 			r.phase = uncertain
 		}
 		h.recordNoAnswer(time.Now())
+		go h.resolveRuns(ctx)
 	default:
 		h.recordRefusal(why, time.Now())
 		if why == Fenced {
 			h.markFenced()
 		}
-		h.endRun(k, refusalCause(why))
+		h.endRun(k, refusalCause(why), false)
+		if why == NoRoom {
+			h.withholdRoom(r.amount)
+		}
 	}
 	h.mu.Unlock()
 	h.signal()
@@ -294,6 +315,7 @@
 	if r := h.runs[k]; r != nil && r.phase == starting {
 		r.phase = uncertain
 		h.recordNoAnswer(time.Now())
+		h.endRoomCheck()
 	}
 	h.mu.Unlock()
 	h.resolveRuns(ctx)
@@ -310,12 +332,14 @@
 	return wire.RunEnd_refused
 }
 
-// endRun removes a run and tells its requester; the caller holds the lock.
-func (h *ownedUpstream) endRun(k key, cause wire.RunEnd_Cause) {
+// endRun removes a run and tells its requester; listed is true if the upstream listed the
+// end. The caller holds the lock.
+func (h *ownedUpstream) endRun(k key, cause wire.RunEnd_Cause, listed bool) {
 	r := h.runs[k]
 	delete(h.runs, k)
 	h.free = h.free.Plus(r.amount)
-	h.recentEnds[k] = recentEnd{cause, time.Now().Add(endRetention)}
+	now := time.Now()
+	h.recentEnds[k] = recentEnd{cause: cause, endedAt: now, expires: now.Add(endRetention), listed: listed}
 	if h.runner.Observer != nil {
 		wasted := 0.0
 		if cause != wire.RunEnd_done && r.phase == running {
@@ -454,6 +478,7 @@
 // setClock records the upstream's clock; the caller holds the lock.
 func (h *ownedUpstream) setClock(clock int64) {
 	if clock != 0 {
-		h.clock, h.clockAt = clock, time.Now()
+		now := time.Now()
+		h.clock, h.clockAt, h.clockDue = clock, now, now.Add(clockInterval)
 	}
 }
