End also the runs on an upstream that its last owner did not give up

Cause: endUnlistedRuns waits for the owner to give the upstream up. Change: both checks are made. No test isolates the case; TestRunAtVanishedUpstreamIsStartedAgain passes with either check.

--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -76,6 +76,9 @@
 	out = append(out, c.answerExpired(now)...)
 	out = append(out, c.endLostRuns(now)...)
 	out = append(out, c.endUnlistedRuns(now)...)
+	if now.Sub(c.fleetSeenAt) >= fleetInterval {
+		out = append(out, c.endRunsAtVanished(now)...)
+	}
 	// The snapshots cover the tasks that wait by now.
 	c.takeSnapshots(now)
 	out = append(out, c.placeStarted(now)...)
