--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -60,11 +60,19 @@
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
 	inFlight packer.Amount
+	// incarnation is that of the owner's last report, 0 if unknown, and answering
+	// is true if the upstream answered the owner's last order or poll.
+	incarnation int64
+	answering   bool
 }
 
 // available is the free capacity that new requests may use.
 func (s *upstreamState) available() packer.Amount { return s.free.Minus(s.inFlight) }
 
+// latestIncarnation is the latest incarnation that the list or the owner told; 0 if
+// unknown.
+func (s *upstreamState) latestIncarnation() int64 { return max(s.Incarnation, s.incarnation) }
+
 // sentRequest is a run request that a peer has not received yet.
 type sentRequest struct {
 	number   uint64
@@ -243,6 +251,7 @@
 	c.mu.Lock()
 	upstreams := make(map[string]*upstreamState, len(list))
 	services := make(map[string][]*upstreamState)
+	addresses := make(map[string]*upstreamState, len(list))
 	for _, u := range list {
 		s := c.upstreams[u.Name]
 		if s == nil {
@@ -251,6 +260,9 @@
 		s.Upstream, s.unlistedSince = u, time.Time{}
 		upstreams[u.Name] = s
 		services[u.Service] = append(services[u.Service], s)
+		if a := addresses[u.Address]; a == nil || u.Incarnation > a.Incarnation {
+			addresses[u.Address] = s
+		}
 	}
 	now := time.Now()
 	c.hasUnlisted = false
@@ -261,12 +273,12 @@
 		if s.unlistedSince.IsZero() {
 			s.unlistedSince = now
 		}
-		if now.Sub(s.unlistedSince) < unlistedRetention {
+		if now.Sub(s.unlistedSince) < unlistedRetention || s.stateKnown {
 			upstreams[name] = s
 			c.hasUnlisted = true
 		}
 	}
-	c.upstreams, c.services = upstreams, services
+	c.upstreams, c.services, c.addresses = upstreams, services, addresses
 	for _, j := range c.jobs {
 		c.updateFit(j)
 	}
@@ -295,10 +307,12 @@
 			c.hasUnlisted = true
 		}
 		if s.owner != owner {
-			if u.GetToken() <= s.token {
+			// A claim holds until a higher one comes or its owner gives it up: the former
+			// owner may have served the upstream all the while.
+			if u.GetToken() == 0 || (u.GetToken() <= s.token && s.releasedAt.IsZero()) {
 				continue
 			}
-			s.owner = owner
+			s.owner, s.token = owner, u.GetToken()
 			newOwner[s.Name] = true
 		}
 		if s.token != 0 && u.GetToken() > s.token {
@@ -319,6 +333,7 @@
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
 		s.slowness, s.updatedAt = u.GetSlowness(), time.Now()
+		s.incarnation, s.answering = u.GetIncarnation(), u.GetAnswering()
 	}
 	var out []message
 	if len(newOwner) > 0 {
--- a/lib/runner/poller.go
+++ b/lib/runner/poller.go
@@ -38,13 +38,14 @@
 }
 
 // waitIdle waits for a signal while the upstream has no runs, and reports whether it
-// must be polled first, to acknowledge ends or to read its clock.
+// must be polled first, to acknowledge ends, to read its clock, or to find out whether it
+// answers again.
 func (h *ownedUpstream) waitIdle(ctx context.Context) bool {
 	h.mu.Lock()
 	var after <-chan time.Time
 	if h.synced && h.token != h.refusedToken {
 		wait := time.Until(h.clockDue)
-		if h.unacknowledged {
+		if h.unacknowledged || h.silence(time.Now()) > 0 {
 			wait = min(wait, ackDelay)
 		}
 		t := time.NewTimer(wait)
