Poll an upstream again soon after a request to it failed late

A request that failed after the upstream's last answer made it count as silent, and so as unusable, until the next poll: up to 5 s later if nothing ran there, as the idle polling loop had chosen its wait before.

Ruled out: to let no request count whose upstream has answered since; that delayed the notice of crashes (TestSuspectRunsAlone failed).

The loop is woken, and looks at whether a request is unanswered, not at for how long.

--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -77,7 +77,7 @@
 // recordNoAnswer records an order or poll without an answer, and ejects the
 // upstream after silenceLimit.
 func (h *health) recordNoAnswer(now time.Time) {
-	if !h.unansweredSince.After(h.answeredAt) {
+	if !h.isSilent() {
 		h.unansweredSince = now
 		return
 	}
@@ -113,10 +113,13 @@
 	h.probing = true
 }
 
+// isSilent reports whether an order or poll is unanswered.
+func (h *health) isSilent() bool { return h.unansweredSince.After(h.answeredAt) }
+
 // silence returns the time since the first unanswered order or poll, 0 if the
 // last one was answered.
 func (h *health) silence(now time.Time) time.Duration {
-	if !h.unansweredSince.After(h.answeredAt) {
+	if !h.isSilent() {
 		return 0
 	}
 	return now.Sub(h.unansweredSince)
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -166,7 +166,7 @@
 	now := time.Now()
 	return &wire.UpstreamState{
 		Upstream: h.upstream.Name, Free: AmountToWire(h.available()), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
-		Incarnation: h.incarnation, Answering: h.synced && h.silence(now) == 0,
+		Incarnation: h.incarnation, Answering: h.synced && !h.isSilent(),
 	}
 }
 
--- a/lib/runner/poller.go
+++ b/lib/runner/poller.go
@@ -45,7 +45,7 @@
 	var after <-chan time.Time
 	if h.synced && h.token != h.refusedToken {
 		wait := time.Until(h.clockDue)
-		if h.unacknowledged || h.silence(time.Now()) > 0 {
+		if h.unacknowledged || h.isSilent() {
 			wait = min(wait, ackDelay)
 		}
 		t := time.NewTimer(wait)
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -19,8 +19,10 @@
 		h.endAllAsLost("replaced by another upstream")
 		h.resetReports()
 	case 0:
-		if len(h.runs) > 0 || h.silence(now) == 0 {
+		if len(h.runs) > 0 || !h.isSilent() {
 			h.recordNoAnswer(now)
+			// The polling loop finds out soon whether the upstream answers again.
+			h.signal()
 		}
 		// Before the first answer to a poll, the former owner may still be renewing
 		// the lease.
@@ -109,7 +111,7 @@
 		return
 	}
 	h.setClock(rep.Clock)
-	if h.silence(now) > 0 {
+	if h.isSilent() {
 		go h.runner.Changed(h.upstream.Name)
 	}
 	h.recordAnswer()
