Log jobs that start without a caller, and runs that start after their cancellation

What callers saw: nothing yet; after a reset of all connections two runs of one task were at work at the same time, and the logs could not tell whether the second job began after its connection had ended. Change: the handler hands the coordinator a check of the caller's connection (a peek at the socket, which does not wait for net/http's background read); a start without a caller, and a confirmed start of a cancelled run, leave a line. No decision depends on either.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -218,7 +218,7 @@
 		c.jobs[j.ID] = j
 		c.enqueue(j)
 	}
-	j.callers++
+	j.addCaller(in.CallerGone)
 	c.mu.Unlock()
 	c.Wake()
 	select {
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -58,6 +58,9 @@
 	Deadline time.Time
 	// MaxFailures is the number of failed runs of one task that fail the job.
 	MaxFailures int
+	// CallerGone reports whether the caller's connection has ended, which may be
+	// before the end of the context that Submit got; nil if that is unknown.
+	CallerGone func() bool
 
 	// Holder is the leased identity of the entry that runs the job, if the job is
 	// kept: its answer is only in the store, and it runs whether or not a caller
@@ -215,8 +218,32 @@
 	// value is the value of the job per core-second, see kindStats.value.
 	value  float64
 	answer chan Answer
-	// callers is the number of callers that wait for the answer.
-	callers int
+	// callers is the number of callers that wait for the answer, callersGone holds
+	// the CallerGone of all that came.
+	callers     int
+	callersGone []func() bool
+}
+
+// addCaller adds a caller that waits for the answer.
+func (j *job) addCaller(gone func() bool) {
+	if gone == nil {
+		gone = func() bool { return false }
+	}
+	j.callers++
+	j.callersGone = append(j.callersGone, gone)
+}
+
+// abandoned reports whether nobody waits for the answer of a job that is not kept.
+func (j *job) abandoned() bool {
+	if j.kept() || len(j.callersGone) == 0 {
+		return false
+	}
+	for _, gone := range j.callersGone {
+		if !gone() {
+			return false
+		}
+	}
+	return true
 }
 
 // newJob opens a job. The run numbers of its tasks are higher than the given one.
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -189,6 +189,9 @@
 			}
 			continue
 		}
+		if j.abandoned() {
+			c.Log.Info().Str("job", j.ID).Msg("started_without_caller")
+		}
 		out = append(out, c.place(tasks, chosen, now)...)
 		j.started = true
 		if i := slices.Index(c.waiting, j); i >= 0 {
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -295,6 +295,9 @@
 		if r.phase != running {
 			r.phase, r.confirmedAt = running, time.Now()
 		}
+		if r.stopping {
+			h.runner.Log.Info().Str("task", k.task).Uint64("run", k.run).Str("upstream", u.Name).Msg("cancelled_run_started")
+		}
 		h.endRoomCheck()
 		h.scheduleOverduePoll(ctx, k, r, time.Now())
 	case why == 0:
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -172,7 +172,7 @@
 // buildServers builds the servers for callers, the load balancer and operators.
 func (e *Entry) buildServers() {
 	e.callerServer = &http.Server{
-		Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
 		Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.keeper, Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
 	}
 	mux := http.NewServeMux()
