Don't start a job whose caller's connection has ended

Cause: the bytes of a request outlive the reset in the socket's buffer, and net/http tells the handler of the reset only when its background read is scheduled. Submit wakes the pass first, so a busy entry starts the job, sends its runs, and learns 2 to 33 ms later that nobody waits. The caller meanwhile submits the job to another entry. Ruled out: a start that outlives its job as the only cause, as the job itself begins after the reset; it lengthens the overlap and is treated separately. Change: the coordinator asks for the state of the callers' connections right before it starts a job or its next tasks, and cancels the job if all have ended. Conclusion: the check sits where the decision is carried out, so it holds however late the process learns of the reset by other means.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -257,6 +257,9 @@
 	})
 }
 
+// callerGone is the answer to a job for which nobody waits any more.
+var callerGone = Answer{State: Cancelled, Reason: "the caller left"}
+
 // callerLeft removes a caller that no longer waits, and cancels the job if it
 // was the last one.
 func (c *Coordinator) callerLeft(j *job) Answer {
@@ -264,7 +267,7 @@
 	j.callers--
 	var out []message
 	if j.callers == 0 && c.jobs[j.ID] == j {
-		out = c.close(j, Answer{State: Cancelled, Reason: "the caller left"})
+		out = c.close(j, callerGone)
 	}
 	c.enqueueMessages(out)
 	c.mu.Unlock()
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -142,6 +142,10 @@
 				fullStep = t.stepIndex
 				continue
 			}
+			if j.abandoned() {
+				out = append(out, c.close(j, callerGone)...)
+				break
+			}
 			out = append(out, c.place([]*task{t}, chosen, now)...)
 		}
 	}
@@ -190,7 +194,8 @@
 			continue
 		}
 		if j.abandoned() {
-			c.Log.Info().Str("job", j.ID).Msg("started_without_caller")
+			out = append(out, c.close(j, callerGone)...)
+			continue
 		}
 		out = append(out, c.place(tasks, chosen, now)...)
 		j.started = true
