Count the jobs of a lost identity as pending until they are taken over

Callers saw a `pending` of a queue that was too low, down to 0 while jobs waited, for up to 10 s after an outage of the store.

Cause: an entry that loses its identity as a holder gives its open jobs up, and the writes that end after the loss leave jobs under the lost identity too. They are taken over once the store has removed its key, 8 s later. No entry counted them in between, as only the jobs of a coordinator were counted. In the same way the jobs of a killed entry were counted for 10 s, however long its key stayed.

Ruled out: that the counts came late (they are sent with each frame), and that the jobs were lost (the takeover found them all).

Change: the entry that lost the jobs counts those that had not started, until their identity is gone or another entry claims it. The claimant counts them from the records, until it has written itself into them. Each review of the records corrects both, and a cancellation drops the job at once. The last count of a silent entry holds while an identity of it is in the store, and for 3 s otherwise, so that its jobs are not counted twice beside the claimant.

Conclusion: each job of a lost identity is counted by one entry at a time.

--- a/lib/enroller/holder.go
+++ b/lib/enroller/holder.go
@@ -74,6 +74,19 @@
 	return out
 }
 
+// HasHolder reports whether a holder of an entry, by its name, is in the store, so that
+// its jobs are not being taken over yet.
+func (e *Enroller) HasHolder(entry string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name := range e.holders {
+		if strings.HasPrefix(name, entry+holderSeparator) {
+			return true
+		}
+	}
+	return false
+}
+
 // EnsureHolder returns the holder of this entry, and acquires one if there is
 // none. After an error this entry cannot accept kept jobs.
 func (e *Enroller) EnsureHolder(ctx context.Context) (string, error) {
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -54,8 +54,9 @@
 	registered map[string]string
 	// interval is the shortest time between two transactions of one entry.
 	interval time.Duration
-	// holders are the holders in the store.
+	// holders are the holders in the store, and leases the number of those taken so far.
 	holders map[string]bool
+	leases  int
 	token   int64
 	starts  int
 }
@@ -302,6 +303,9 @@
 func (n *node) Claim(peer, holder string) {
 	incarnation := n.Incarnations()[peer]
 	claim := func(p *node) {
+		if p != n {
+			p.keeper.HolderClaimed(holder)
+		}
 		p.runner.RetireHolder(p.ctx, n.name, holder, func() {
 			if p == n {
 				n.keeper.ClaimAnswered(peer, incarnation, holder)
@@ -339,7 +343,8 @@
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	if n.holder == "" {
-		n.holder = n.name + "@" + n.incarnation
+		n.cluster.leases++
+		n.holder = fmt.Sprintf("%s@%d", n.name, n.cluster.leases)
 		n.cluster.holders[n.holder] = true
 	}
 	return n.holder, nil
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -73,6 +73,7 @@
 	LossesStored(id string, tasks []uint32)
 	MarkDone(id string, number int)
 	MayHaveStarted(id string) bool
+	Pending() map[string]int64
 	Refuses(j coordinator.Job) (coordinator.Answer, bool)
 }
 
@@ -127,7 +128,9 @@
 	orphans map[string][]orphanedEnd
 	// takeovers holds the takeovers in progress, by holder.
 	takeovers map[string]*takeover
-	review    chan struct{}
+	// unheld holds the jobs of lost holders that this entry counts as pending.
+	unheld map[string]unheldJob
+	review chan struct{}
 	// keptJobsExist is true once any entry is known to have kept jobs.
 	keptJobsExist atomic.Bool
 }
@@ -163,7 +166,8 @@
 // Init prepares the keeper. It must be called once before any other method.
 func (k *Keeper) Init() {
 	k.jobs, k.orphans = make(map[string]*keptJob), make(map[string][]orphanedEnd)
-	k.takeovers, k.review = make(map[string]*takeover), make(chan struct{}, 1)
+	k.takeovers, k.unheld = make(map[string]*takeover), make(map[string]unheldJob)
+	k.review = make(chan struct{}, 1)
 }
 
 // Holder implements coordinator.Keeper.
@@ -239,11 +243,14 @@
 		current := k.jobs[j.id] == j && k.Identity.Holder() == j.record.GetHolder()
 		if !current && k.jobs[j.id] == j {
 			delete(k.jobs, j.id)
+			k.countUnheld(j)
 		}
 		job := jobOf(j.id, j.record)
 		k.mu.Unlock()
 		if current {
 			k.startJob(j, job)
+		} else {
+			k.TriggerReview()
 		}
 		close(j.ready)
 		return
@@ -265,6 +272,7 @@
 func (k *Keeper) startJob(j *keptJob, job coordinator.Job) {
 	k.Jobs.SubmitKept(job)
 	k.mu.Lock()
+	delete(k.unheld, j.id)
 	dropped := k.jobs[j.id] != j || j.record.GetState() == wire.KeptJob_cancelled
 	k.mu.Unlock()
 	if dropped {
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -89,10 +89,11 @@
 }
 
 // Reload reads the record of a job again in the background, after another entry
-// changed it.
+// cancelled it.
 func (k *Keeper) Reload(id string) {
 	k.mu.Lock()
 	j := k.jobs[id]
+	delete(k.unheld, id)
 	k.mu.Unlock()
 	if j != nil {
 		go k.reloadRecord(j)
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -141,6 +141,7 @@
 		pause(ctx, reviewDelay)
 		names = k.Peers.Incarnations()
 	}
+	known := k.unheldJobs()
 	records, err := k.list(ctx)
 	if err != nil {
 		k.Log.Warn().Err(err).Msg("kept_jobs_unreadable")
@@ -157,14 +158,26 @@
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		members = append(members, divider.Member{Name: name})
 	}
+	unheld, mine := make(map[string]unheldJob), make(map[string]bool)
 	for _, kv := range records {
-		r := decode(kv.Value)
-		if r.GetState() != wire.KeptJob_open || live[r.GetHolder()] {
+		r, id := decode(kv.Value), strings.TrimPrefix(kv.Key, Prefix)
+		holder := r.GetHolder()
+		if r.GetState() != wire.KeptJob_open {
 			continue
 		}
-		again = true
-		if owner, ok := divider.Owner(r.GetHolder(), "", members); ok && owner == k.Self {
-			k.startTakeover(ctx, r.GetHolder())
+		if !live[holder] {
+			again = true
+			owner, ok := divider.Owner(holder, "", members)
+			mine[holder] = ok && owner == k.Self
+		}
+		if len(r.GetDone()) == 0 && (mine[holder] || live[holder] && known[id].holder == holder) {
+			unheld[id] = unheldJob{queue: r.GetQueue(), holder: holder, revision: kv.Revision}
+		}
+	}
+	k.replaceUnheld(known, unheld)
+	for _, holder := range slices.Sorted(maps.Keys(mine)) {
+		if mine[holder] {
+			k.startTakeover(ctx, holder)
 		}
 	}
 	return again
@@ -398,19 +411,25 @@
 // lost. The entry that takes them over runs them again.
 func (k *Keeper) AbandonOpenJobs() {
 	k.mu.Lock()
-	var ids []string
+	var abandoned []*keptJob
 	for id, j := range k.jobs {
 		if j.storedState == wire.KeptJob_open && j.revision != 0 {
-			ids = append(ids, id)
+			abandoned = append(abandoned, j)
 			delete(k.jobs, id)
 		}
 	}
 	k.mu.Unlock()
-	for _, id := range ids {
-		k.Jobs.Release(id)
+	for _, j := range abandoned {
+		started := k.Jobs.MayHaveStarted(j.id)
+		k.Jobs.Release(j.id)
+		k.mu.Lock()
+		if !started && j.record.GetState() == wire.KeptJob_open && len(j.record.GetDone()) == 0 {
+			k.countUnheld(j)
+		}
+		k.mu.Unlock()
 	}
-	if len(ids) > 0 {
-		k.Log.Warn().Int("jobs", len(ids)).Msg("kept_jobs_given_up")
+	if len(abandoned) > 0 {
+		k.Log.Warn().Int("jobs", len(abandoned)).Msg("kept_jobs_given_up")
 	}
 	k.TriggerReview()
 }
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -124,6 +124,7 @@
 		e.pending.put(peer, f.GetPending())
 	}
 	for _, c := range f.GetClaims() {
+		e.keeper.HolderClaimed(c.GetHolder())
 		e.retireHolder(peer, c.GetHolder(), func() {
 			e.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claimed = append(f.Claimed, c) })
 		})
@@ -163,9 +164,10 @@
 	// pendingRefreshInterval is the age at which this entry's own count of
 	// waiting jobs is refreshed.
 	pendingRefreshInterval = 200 * time.Millisecond
-	// maxPendingAge is the age up to which the last count of a silent peer is
-	// included in the sum.
-	maxPendingAge = 10 * time.Second
+	// maxPendingAge is the age from which on the last count of a silent peer is
+	// included in the sum only while the peer has a holder. Once the holder is gone,
+	// the entry that takes over its jobs counts them.
+	maxPendingAge = 3 * time.Second
 )
 
 // pending holds the numbers of kept jobs that have not started, by entry and
@@ -202,13 +204,14 @@
 	return c.queues
 }
 
-// sum returns the number of waiting jobs of one queue on all entries.
-func (p *pending) sum(queue string) int64 {
+// sum returns the number of waiting jobs of one queue on all entries. hasHolder reports
+// whether an entry has a holder.
+func (p *pending) sum(queue string, hasHolder func(entry string) bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := int64(0)
-	for _, c := range p.counts {
-		if time.Since(c.takenAt) < maxPendingAge {
+	for entry, c := range p.counts {
+		if time.Since(c.takenAt) < maxPendingAge || hasHolder(entry) {
 			n += c.queues[queue]
 		}
 	}
@@ -221,8 +224,8 @@
 	if !e.keptJobsExist.Load() {
 		return 0
 	}
-	e.pending.refresh(e.Name, e.coordinator.Pending)
-	return e.pending.sum(queue)
+	e.pending.refresh(e.Name, e.keeper.Pending)
+	return e.pending.sum(queue, e.enroller.HasHolder)
 }
 
 // drainKeptJobs waits for the kept jobs to end and then releases the holder, so
--- /dev/null
+++ b/radishweir/internal/composer/kept_test.go
@@ -0,0 +1,31 @@
+package composer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The jobs of a killed entry were counted for 10 s, also if its holder stayed in the
+// store for longer, as it does after an outage, or was taken over sooner.
+func TestJobsOfSilentEntryArePendingUntilItsHolderIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, held := &pending{}, true
+		hasHolder := func(entry string) bool { return held && entry == "entry-2" }
+		p.put("entry-2", map[string]int64{"check": 5})
+		p.put("entry-3", map[string]int64{"check": 3})
+		for _, c := range []struct {
+			after time.Duration
+			held  bool
+			want  int64
+		}{
+			{time.Second, true, 8}, {8 * time.Second, true, 5}, {20 * time.Second, true, 5}, {0, false, 0},
+		} {
+			time.Sleep(c.after)
+			held = c.held
+			if got := p.sum("check", hasHolder); got != c.want {
+				t.Errorf("%d jobs pending %v later with holder=%v, want %d", got, c.after, c.held, c.want)
+			}
+		}
+	})
+}
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -191,7 +191,7 @@
 func (e *Entry) Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool) {
 	e.relayer.Fill(peer, f)
 	if f.Keeping = e.keptJobsExist.Load(); f.Keeping {
-		f.Pending = e.pending.refresh(e.Name, e.coordinator.Pending)
+		f.Pending = e.pending.refresh(e.Name, e.keeper.Pending)
 	}
 	if f.GetWhole() {
 		f.Upstreams = e.runner.States()
