Add the second upstream of TestVerdicts before the first attempt can end

Seen once, beside a load average of 17: "ok false, verdict not_run (dial failed)", 0 starts, in the cases whose first attempt is not sent. Cause: the test. It submits the task and then assigns upstream b, while the attempt on a fails at once and is repeated at once. If the test's goroutine is late, all 8 attempts are made on a. Nothing in the dispatcher differs between the two orders. Ruled out: the dispatcher's timers; the clock of the test does not move in between. Change: the first attempt takes 1 ms of the test's clock, which moves only when every goroutine waits, so b is always assigned before. Cases and checks stay as they are.

--- a/lib/dispatcher/dispatcher_test.go
+++ b/lib/dispatcher/dispatcher_test.go
@@ -200,6 +200,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newHarness(c.repeatable, "a", 1)
+				// b is there before the first attempt ends.
+				c.first.run = time.Millisecond
 				s.setBehavior("a", c.first)
 				if _, err := s.submit(1); err != nil {
 					t.Fatal(err)
