Wait for the end of a pause that follows another one

Cause: Tracker.Submit waited for the end of the shard's pause, unlocked the shard, and refused if the shard was paused when it locked it again. A home that resumes its shards after a refused handover, or that has just received them, may pause them again at once, so a job that had waited was refused in place of waiting on. Change: the check and the submission hold the lock in one piece, and the wait goes on through pauses in succession, for 2 s in all as before.

--- a/lib/tracker/shard.go
+++ b/lib/tracker/shard.go
@@ -87,23 +87,31 @@
 	return sub.Request.GetAttempt() == 1 && !deliveredElsewhere && sentSince
 }
 
-// awaitPauseEnd waits until the shard's pause ends, for at most maxPauseWait.
-// It returns at once if the job has a record.
-func (sh *shard) awaitPauseEnd(ctx context.Context, sub Submission) {
-	sh.mu.Lock()
-	_, known := sh.jobs[jobKey{sub.Tenant, sub.Request.GetJobId()}]
-	isPaused, changed := sh.phase == paused, sh.pauseEnded
-	sh.mu.Unlock()
-	if !isPaused || known {
+// lockServing locks the shard. Before that it waits while the shard is paused, also
+// in several pauses, for at most maxPauseWait. It does not wait for a job that has a
+// record.
+func (sh *shard) lockServing(ctx context.Context, sub Submission) {
+	var expired <-chan time.Time
+	for {
+		sh.mu.Lock()
+		_, known := sh.jobs[jobKey{sub.Tenant, sub.Request.GetJobId()}]
+		if sh.phase != paused || known {
+			return
+		}
+		changed := sh.pauseEnded
+		sh.mu.Unlock()
+		if expired == nil {
+			expired = time.After(maxPauseWait)
+		}
+		select {
+		case <-changed:
+			continue
+		case <-ctx.Done():
+		case <-expired:
+		}
+		sh.mu.Lock()
 		return
 	}
-	t := time.NewTimer(maxPauseWait)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-ctx.Done():
-	case <-t.C:
-	}
 }
 
 // handleNotServing handles a submission to a shard that starts no jobs: it
--- a/lib/tracker/tracker.go
+++ b/lib/tracker/tracker.go
@@ -115,8 +115,7 @@
 	if sh == nil {
 		return nil, ErrNotHome
 	}
-	sh.awaitPauseEnd(ctx, sub)
-	sh.mu.Lock()
+	sh.lockServing(ctx, sub)
 	if sh.phase != serving {
 		defer sh.mu.Unlock()
 		return sh.handleNotServing(sub)
