Drop a silent connection between entries after 3 s also when it was slow before

What callers saw: TestFaults, "0 send: ... context deadline exceeded" after 20 s, in the first job of two cases in a row. An entry that had been paused forwarded jobs over connections that their other end had dropped long ago, and got no answer. Cause: QUIC keeps a connection for the larger of the idle timeout (3 s) and three times its probe timeout, which is the smoothed round trip plus four times its deviation. If an acknowledgement is on its way while an entry is stopped for 11 s, the entry counts 11 s as a round trip: 1.4 s smoothed, 2.75 s deviation, and 37 s until the dead connection is dropped. That is longer than the jobs of two cases of 20 s took to fail, and whether an acknowledgement was on its way is chance, more likely on a busy machine. Ruled out: the dispatcher. The jobs' deadline is 15 s, at which the home settles every task whatever its state; only the reply's way from home to caller has no such bound. Change: the client watches each of its connections. It asks a quiet one for a sign of life with the reset of an unused stream, and closes one on which nothing arrived for 3 s, with the log event silent_entry_connection_closed.

--- a/lib/entry/client.go
+++ b/lib/entry/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"radishweir.org/lib/classifier"
@@ -17,6 +18,8 @@
 type Client struct {
 	// TLS is the configuration from LoadTLS.
 	TLS *tls.Config
+	// Log receives events.
+	Log zerolog.Logger
 
 	mu    sync.Mutex
 	links map[Peer]*link
@@ -93,6 +96,7 @@
 		return nil, errors.Errorf("%s is %s, not %s", p.Address, name, p.Name)
 	}
 	l.conn = conn
+	go c.watchSilence(p, conn)
 	return conn, nil
 }
 
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -60,6 +60,8 @@
 	codeNotProcessed = 2
 	// codeFailed resets a stream whose request or reply failed.
 	codeFailed = 3
+	// codeSilent closes a connection on which nothing has arrived for idleTimeout.
+	codeSilent = 4
 )
 
 // drainQuietPeriod is the time without active requests after which Shutdown
--- /dev/null
+++ b/lib/entry/silence.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// watchSilence closes a connection on which nothing has arrived for idleTimeout.
+// QUIC's own limit grows to three times and more what an acknowledgement took, and a
+// process that was paused counts the pause. The reset of an unused stream makes a
+// quiet peer acknowledge it.
+func (c *Client) watchSilence(p Peer, conn *quic.Conn) {
+	tick := time.NewTicker(pingInterval)
+	defer tick.Stop()
+	received, arrivedAt := uint64(0), time.Now()
+	for {
+		select {
+		case <-conn.Context().Done():
+			return
+		case <-tick.C:
+		}
+		n := conn.ConnectionStats().PacketsReceived
+		if n != received {
+			received, arrivedAt = n, time.Now()
+			continue
+		}
+		if time.Since(arrivedAt) >= idleTimeout {
+			c.Log.Warn().Str("peer", p.Name).Dur("round_trip_ms", conn.ConnectionStats().SmoothedRTT).Msg("silent_entry_connection_closed")
+			_ = conn.CloseWithError(codeSilent, "silent")
+			return
+		}
+		if st, err := conn.OpenStream(); err == nil {
+			resetStream(st)
+		}
+	}
+}
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -122,7 +122,7 @@
 
 // buildPeers builds the components that communicate with other entries.
 func (e *Entry) buildPeers(cfg *tls.Config) {
-	e.entryClient = &entry.Client{TLS: cfg}
+	e.entryClient = &entry.Client{TLS: cfg, Log: e.Log}
 	e.placer = &placer.Placer{
 		Self: e.self, Store: e.store, Members: e.registrar, Tracker: e.tracker, Caller: e.entryClient, Log: e.Log,
 	}
