Keep an entry as draining until its process ends

Cause: entries exchange heartbeats in both directions. A reply that a peer wrote before its drain may be handled after the announcement of the drain, and replaced it. Ruled out: a drain that is called off; there is none, and a new process has a new incarnation, which starts as live. Change: once announced, a drain holds for the incarnation. Figures: TestLateReplyFromBeforeDrain fails without the change and passes with it. Conclusion: mended.

--- a/lib/registrar/registrar.go
+++ b/lib/registrar/registrar.go
@@ -233,7 +233,8 @@
 		return
 	}
 	m.ReachableUntil = time.Now().Add(heartbeatTimeout)
-	m.Draining = h.GetDraining()
+	// A drain ends with the process; a reply from before it may come later.
+	m.Draining = m.Draining || h.GetDraining()
 	m.Loads = h.GetLoads()
 	r.members[h.GetName()] = m
 }
--- a/lib/registrar/registrar_test.go
+++ b/lib/registrar/registrar_test.go
@@ -160,3 +160,19 @@
 		}
 	})
 }
+
+// TestLateReplyFromBeforeDrain guards against taking a draining entry for a live one
+// because of a heartbeat reply that was written before its drain.
+func TestLateReplyFromBeforeDrain(t *testing.T) {
+	r := &Registrar{Self: &wire.Registration{Name: "b"}, Log: zerolog.Nop()}
+	r.Apply(watcher.Update{Reset: true, Events: []platform.Event{registered("a", "a1", time.Now())}})
+	r.Heard(&wire.Heartbeat{Name: "a", Incarnation: "a1", Draining: true})
+	r.Heard(&wire.Heartbeat{Name: "a", Incarnation: "a1"})
+	if m, _ := r.Member("a"); !m.Draining {
+		t.Error("the entry counts as live again")
+	}
+	r.Apply(watcher.Update{Events: []platform.Event{registered("a", "a2", time.Now().Add(time.Second))}})
+	if m, _ := r.Member("a"); m.Draining {
+		t.Error("the entry counts as draining after its restart")
+	}
+}
