Print the state of each entry when a job gets no answer in a process test

What was seen: TestFaults failed with "context deadline exceeded" and nothing told where the job was. Cause: the test printed the last 30 lines of each log only. Ruled out: the logs; no event is written for a job that waits. Change: a submission without an answer prints the status page and the goroutines of each entry. Checks and bounds stay as they are. Conclusion: the next failure shows which entry and which call the job waits in.

--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -50,7 +50,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	j.Attempt = attempt
-	return f.client(entry).Submit(ctx, j, true)
+	a, err := f.client(entry).Submit(ctx, j, true)
+	if err != nil {
+		f.t.Logf("job %s sent to %s: %v", j.GetJobId(), entry, err)
+		f.logStates()
+	}
+	return a, err
 }
 
 // jobStarts counts the starts of all tasks of a job.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -238,6 +239,30 @@
 	return out
 }
 
+// logStates logs the status page and the goroutines of each entry.
+func (f *fleet) logStates() {
+	for n, a := range f.operatorAddresses {
+		for _, path := range []string{"/status", "/debug/pprof/goroutine?debug=1"} {
+			f.t.Logf("%s%s:\n%s", n, path, fetch("http://"+a+path))
+		}
+	}
+}
+
+// fetch returns the body at an address, or the error.
+func fetch(address string) string {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(address)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
 // addUpstream starts an upstream and adds it to the VM list.
 func (f *fleet) addUpstream(domain string) {
 	n := fmt.Sprintf("upstream-%d", len(f.upstreams)+1)
