Let a handover in progress end before a drain hands the rest over

What callers saw: in TestRollingRestart beside load, four first attempts refused as not_run, "the job's home is being handed over", at an entry that began to drain while it handed shards to one that had just started (2 of 11 trial runs, both with the log events handover_unsettled and shard_table_write_unknown, "context canceled"). Cause: the signal cancelled the placer's context. If the table's write was on its way, its outcome stayed unknown and the shards stayed paused, neither resumed nor released. When the watch then reported that the write had taken effect, the drain saw shards of another entry and left them alone, so that jobs that waited for the pause were refused after 2 s. Change: the signal stops the placer after the change in progress; its context ends with the drain's limit or a second signal, as the drain's own.

--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -23,6 +23,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -103,6 +104,7 @@
 	changeMu sync.Mutex
 	wake     chan struct{}
 	once     sync.Once
+	stopped  atomic.Bool
 }
 
 // TableKey returns the platform's key of a failure domain's shard table.
@@ -306,9 +308,9 @@
 }
 
 // Run restores the own failure domain's table and assigns and balances its shards
-// until ctx ends.
+// until ctx ends or Stop is called.
 func (p *Placer) Run(ctx context.Context) {
-	for {
+	for !p.stopped.Load() {
 		p.Step(ctx)
 		select {
 		case <-ctx.Done():
@@ -319,6 +321,13 @@
 	}
 }
 
+// Stop ends Run after the change in progress. To end the context instead would leave the
+// shards of a handover paused if its write of the table is on its way.
+func (p *Placer) Stop() {
+	p.stopped.Store(true)
+	p.Wake()
+}
+
 // Step makes at most one change to the own failure domain's table.
 func (p *Placer) Step(ctx context.Context) {
 	p.changeMu.Lock()
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -211,8 +211,8 @@
 	case <-ctx.Done():
 	case sig := <-signals:
 		e.Log.Info().Str("signal", sig.String()).Msg("draining")
-		stopPlacer()
-		e.drain(ctx, signals)
+		e.placer.Stop()
+		e.drain(ctx, signals, stopPlacer)
 	}
 	cancel()
 	background.Wait()
--- a/radishweir/internal/assembler/drain.go
+++ b/radishweir/internal/assembler/drain.go
@@ -27,11 +27,13 @@
 // drain ends the entry's work in this order: it reports the entry as not ready,
 // tells its peers, gives load balancers time to notice, hands over the shards,
 // waits for the open jobs and the callers' requests, stops the server for other
-// entries and removes the registration.
-func (e *Entry) drain(ctx context.Context, signals <-chan os.Signal) {
+// entries and removes the registration. A handover that is in progress ends first;
+// drain calls stopPlacer when its limit is reached.
+func (e *Entry) drain(ctx context.Context, signals <-chan os.Signal, stopPlacer context.CancelFunc) {
 	e.draining.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, loader.Duration(e.DrainLimit))
 	defer cancel()
+	defer context.AfterFunc(ctx, stopPlacer)()
 	go func() {
 		select {
 		case sig := <-signals:
