Forget a silent connection before it is closed

Cause: the streams of a connection that is closed fail before its context ends, so the call that is sent again may get the same connection once more. Ruled out: the dial; the error is the close by the watch of the connection. Change: the connection leaves the client before it is closed, so the next call dials. The tests of the package pass. Not run with the real programs.

--- a/lib/entry/client.go
+++ b/lib/entry/client.go
@@ -96,7 +96,7 @@
 		return nil, errors.Errorf("%s is %s, not %s", p.Address, name, p.Name)
 	}
 	l.conn = conn
-	go c.watchSilence(p, conn)
+	go c.watchSilence(p, l, conn)
 	return conn, nil
 }
 
--- a/lib/entry/silence.go
+++ b/lib/entry/silence.go
@@ -10,7 +10,7 @@
 // QUIC's own limit grows to three times and more what an acknowledgement took, and a
 // process that was paused counts the pause. The reset of an unused stream makes a
 // quiet peer acknowledge it.
-func (c *Client) watchSilence(p Peer, conn *quic.Conn) {
+func (c *Client) watchSilence(p Peer, l *link, conn *quic.Conn) {
 	tick := time.NewTicker(pingInterval)
 	defer tick.Stop()
 	received, arrivedAt := uint64(0), time.Now()
@@ -27,6 +27,7 @@
 		}
 		if time.Since(arrivedAt) >= idleTimeout {
 			c.Log.Warn().Str("peer", p.Name).Dur("round_trip_ms", conn.ConnectionStats().SmoothedRTT).Msg("silent_entry_connection_closed")
+			l.forget(conn)
 			_ = conn.CloseWithError(codeSilent, "silent")
 			return
 		}
@@ -35,3 +36,13 @@
 		}
 	}
 }
+
+// forget makes the next call dial. It precedes the close of the connection, whose
+// streams fail before its context ends.
+func (l *link) forget(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.conn = nil
+	}
+}
