--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -122,7 +122,7 @@
 
 // buildPeers builds the components that communicate with other entries.
 func (e *Entry) buildPeers(cfg *tls.Config) {
-	e.entryClient = &entry.Client{TLS: cfg}
+	e.entryClient = &entry.Client{TLS: cfg, Log: e.Log}
 	e.placer = &placer.Placer{
 		Self: e.self, Store: e.store, Members: e.registrar, Tracker: e.tracker, Caller: e.entryClient, Log: e.Log,
 	}
@@ -211,8 +211,8 @@
 	case <-ctx.Done():
 	case sig := <-signals:
 		e.Log.Info().Str("signal", sig.String()).Msg("draining")
-		stopPlacer()
-		e.drain(ctx, signals)
+		e.placer.Stop()
+		e.drain(ctx, signals, stopPlacer)
 	}
 	cancel()
 	background.Wait()
