Acknowledge no ends to an upstream that may have restarted

Callers of kept jobs may see a task start again after it was done. An upstream that restarts under its name numbers its ends from 1. Its owner went on acknowledging the numbers of the former process until a report named the new one, so the new process dropped the end of a run that it had already carried out, unread. The run then counted as lost, though its end had been taken note of.

With runs at work, a poll acknowledges ends only within 50 ms of the last report. No upstream restarts and carries out a run in that time, and in normal operation polls follow each other sooner, so nothing more is sent. A report that was read late, after a pause of the entry, counts by the time by which it was due.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -103,6 +103,9 @@
 	// unverifiedSince is when the list named an incarnation that no report has
 	// confirmed or refuted since; zero otherwise.
 	unverifiedSince time.Time
+	// aliveAt is the last time at which the incarnation certainly was alive; zero if it
+	// has sent no report.
+	aliveAt time.Time
 	// refusedToken is the token that the upstream refused as too low.
 	refusedToken int64
 	// clock is the upstream's clock in milliseconds as of clockAt.
--- a/lib/runner/poller.go
+++ b/lib/runner/poller.go
@@ -67,12 +67,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.clockDue = time.Now().Add(clockInterval)
-	return &Poll{Token: h.token, Acknowledged: h.acknowledged()}
+	return &Poll{Token: h.token}
 }
 
-// poll sends one poll and processes its answer.
+// poll sends one poll, which acknowledges ends if that is safe, and processes its answer.
 func (h *ownedUpstream) poll(ctx context.Context, u Upstream, p Poll) error {
 	sent := time.Now()
+	h.mu.Lock()
+	if h.mayAcknowledge(sent) {
+		p.Acknowledged = h.acknowledged()
+	}
+	h.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, p.Wait+callTimeout)
 	defer cancel()
 	rep, err := h.runner.Client.Poll(call, u, p)
@@ -80,10 +85,18 @@
 		h.handlePollError(err, u, p.Token, sent)
 		return err
 	}
-	h.applyReport(ctx, rep, sent)
+	h.applyReport(ctx, rep, sent, p.Wait)
 	return nil
 }
 
+// mayAcknowledge reports whether a poll that is sent now certainly reaches the process
+// that listed the ends, or at least one that has carried out no run. A process that
+// restarted numbers its ends anew, and would drop one that nobody has read. The caller
+// holds the lock.
+func (h *ownedUpstream) mayAcknowledge(now time.Time) bool {
+	return len(h.runs) == 0 || now.Sub(h.aliveAt) <= minRestartTime
+}
+
 // resolveRuns polls, without waiting for ends, until no run is uncertain or
 // orphaned. It runs beside the polling loop, whose poll may be waiting for an
 // end.
@@ -102,7 +115,7 @@
 			h.mu.Unlock()
 			return
 		}
-		p, u := Poll{Token: h.token, Acknowledged: h.acknowledged()}, h.upstream
+		p, u := Poll{Token: h.token}, h.upstream
 		h.mu.Unlock()
 		answer := make(chan error, 1)
 		go func() { answer <- h.poll(ctx, u, p) }()
@@ -125,7 +138,7 @@
 	time.AfterFunc(r.startedAt.Add(due).Sub(now)+pollSlack, func() {
 		h.mu.Lock()
 		overdue := h.runs[k] == r && !h.released && ctx.Err() == nil
-		p, u := Poll{Token: h.token, Acknowledged: h.acknowledged()}, h.upstream
+		p, u := Poll{Token: h.token}, h.upstream
 		h.mu.Unlock()
 		if !overdue {
 			return
@@ -162,7 +175,7 @@
 		}
 		h.token = newest
 	}
-	p := &Poll{Token: h.token, Acknowledged: h.acknowledged()}
+	p := &Poll{Token: h.token}
 	if !h.synced || !h.unverifiedSince.IsZero() {
 		return p, h.upstream, true
 	}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -107,8 +107,9 @@
 	}
 }
 
-// applyReport processes the answer to a poll that was sent at the given time.
-func (h *ownedUpstream) applyReport(ctx context.Context, rep Report, sent time.Time) {
+// applyReport processes the answer to a poll that was sent at the given time and could
+// wait for an end.
+func (h *ownedUpstream) applyReport(ctx context.Context, rep Report, sent time.Time, wait time.Duration) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -116,6 +117,11 @@
 		return
 	}
 	h.setClock(rep.Clock)
+	// This entry may have been paused since the answer came.
+	h.aliveAt = now
+	if latest := sent.Add(wait + pollSlack); latest.Before(now) {
+		h.aliveAt = latest
+	}
 	if h.isSilent() {
 		go h.runner.Changed(h.upstream.Name)
 	}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -64,6 +64,9 @@
 	// by the poll of a next run before a separate poll acknowledges them; an eighth
 	// of the time that is allowed.
 	ackDelay = 500 * time.Millisecond
+	// minRestartTime is less than the time in which an upstream can restart and carry out
+	// a run; it exceeds the pauses between polls.
+	minRestartTime = 50 * time.Millisecond
 	// silenceLimit is the time since the first unanswered order or poll after
 	// which an upstream gets no new runs and polls no longer renew its lease.
 	silenceLimit = 250 * time.Millisecond
