Count no crash under a task on an upstream that restarted before it

Callers may get a job answered as failed, "upstreams crash under a task", though no upstream crashed under it. A lost upstream was noted with the incarnation that was known when the run was requested. If the upstream had restarted before, and its owner told so only then, the restart from before the run counted as a crash under it, for good; two such losses, one of them with nothing else at work, failed the job while the upstreams were only cut off.

Ruled out: isAlive, which then compared with the same former incarnation.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -60,10 +60,12 @@
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
 	inFlight packer.Amount
-	// incarnation is that of the owner's last report, 0 if unknown, and answering
-	// is true if the upstream answered the owner's last order or poll.
-	incarnation int64
-	answering   bool
+	// incarnation is that of the owner's last report, 0 if unknown, incarnationAt when
+	// a report first named it, and answering is true if the upstream answered the owner's
+	// last order or poll.
+	incarnation   int64
+	incarnationAt time.Time
+	answering     bool
 	// reached is true once the upstream answered its owner, so that it refuses all
 	// former ones.
 	reached bool
@@ -336,7 +338,10 @@
 		s.token = max(s.token, u.GetToken())
 		s.free = runner.AmountFromWire(u.GetFree())
 		s.slowness, s.updatedAt = u.GetSlowness(), time.Now()
-		s.incarnation, s.answering = u.GetIncarnation(), u.GetAnswering()
+		if u.GetIncarnation() != s.incarnation {
+			s.incarnation, s.incarnationAt = u.GetIncarnation(), time.Now()
+		}
+		s.answering = u.GetAnswering()
 		s.reached = s.reached || s.answering
 	}
 	var out []message
--- a/lib/coordinator/suspects.go
+++ b/lib/coordinator/suspects.go
@@ -88,8 +88,13 @@
 		// What a leaving upstream runs ends with it.
 		return
 	}
+	incarnation := t.incarnation
+	if s.incarnation > incarnation && now.Sub(s.incarnationAt) >= answerDelay {
+		// The run went on under an incarnation that was not known when it was requested.
+		incarnation = s.incarnation
+	}
 	t.lost = append(t.lost, LostUpstream{
-		Upstream: t.upstream, Address: s.Address, Incarnation: t.incarnation, Isolated: t.isolated, At: now,
+		Upstream: t.upstream, Address: s.Address, Incarnation: incarnation, Isolated: t.isolated, At: now,
 	})
 	t.onHold, j.hasSuspects = t.mustWait(now), true
 	c.Log.Info().Str("task", t.name()).Uint64("run", t.run).Str("upstream", t.upstream).Bool("isolated", t.isolated).
