Test restarts at random moments under kept jobs

The simulated upstream now breaks off a poll that waits when it restarts, as its connection ends with the process; before, the poll went on in the new process with the number of the former one.

--- a/lib/runner/acknowledge_test.go
+++ b/lib/runner/acknowledge_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,3 +63,62 @@
 		})
 	}
 }
+
+// restartTime is how long a simulated upstream takes to restart.
+const restartTime = 60 * time.Millisecond
+
+// Upstreams restart at random moments, and requests and answers get lost.
+func TestRandomRestartsUnderKeptJobs(t *testing.T) {
+	for seed := range uint64(30) {
+		inBubble(t, func(t *testing.T, ctx context.Context) {
+			rng, faults := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
+			var mu sync.Mutex
+			f := newFleet(4)
+			f.Kept = func(string) bool { return true }
+			f.RunTime = func(string) time.Duration { return 60 * time.Millisecond }
+			f.Fault = func(simulator.Operation, string) simulator.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				if faults.IntN(5) > 0 {
+					return simulator.None
+				}
+				return [...]simulator.Fault{simulator.Lost, simulator.Unanswered}[faults.IntN(2)]
+			}
+			b := newHarness(ctx, f, 1)
+			runs, done := make(map[string]uint64), 0
+			for step := range 600 {
+				if step%15 == 14 {
+					name := fmt.Sprintf("u%d", rng.IntN(4))
+					f.Restart(name, int64(step))
+					f.Update(name, func(u *simulator.Upstream) { u.Unreachable = true })
+					time.AfterFunc(restartTime, func() { f.Update(name, func(u *simulator.Upstream) { u.Unreachable = false }) })
+				}
+				task := fmt.Sprintf("job%d.0.0.0", rng.IntN(80))
+				switch b.end(fmt.Sprintf("%s/%d", task, runs[task])) {
+				case wire.RunEnd_done:
+				case 0:
+					if runs[task] > 0 {
+						break
+					}
+					fallthrough
+				default:
+					runs[task]++
+					b.ask(ctx, fmt.Sprintf("u%d", rng.IntN(4)), task, runs[task], false)
+				}
+				time.Sleep(time.Duration(rng.IntN(25)) * time.Millisecond)
+			}
+			time.Sleep(4 * time.Second)
+			for _, v := range f.Violations() {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+			for task, run := range runs {
+				if b.end(fmt.Sprintf("%s/%d", task, run)) == wire.RunEnd_done {
+					done++
+				}
+			}
+			if done < 40 {
+				t.Errorf("seed %d: %d of 80 tasks are done", seed, done)
+			}
+		})
+	}
+}
--- a/lib/simulator/simulator.go
+++ b/lib/simulator/simulator.go
@@ -366,10 +366,15 @@
 // Poll implements runner.Client.
 func (f *Fleet) Poll(ctx context.Context, u runner.Upstream, p runner.Poll) (runner.Report, error) {
 	deadline := time.Now().Add(p.Wait)
+	var life time.Time
 	for {
 		var changed chan struct{}
 		rep, err := f.perform(ctx, Poll, u.Name, func(u *Upstream) (runner.Report, error) {
-			changed = u.changed
+			if !life.IsZero() && life != u.createdAt {
+				// The connection of a waiting poll ends with the process.
+				return runner.Report{}, errors.Wrap(errNoAnswer, u.Name)
+			}
+			life, changed = u.createdAt, u.changed
 			return f.poll(u, p)
 		})
 		if err != nil || len(rep.Ended) > 0 || !time.Now().Before(deadline) {
