--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -64,6 +64,9 @@
 	// by the poll of a next run before a separate poll acknowledges them; an eighth
 	// of the time that is allowed.
 	ackDelay = 500 * time.Millisecond
+	// minRestartTime is less than the time in which an upstream can restart and carry out
+	// a run; it exceeds the pauses between polls.
+	minRestartTime = 50 * time.Millisecond
 	// silenceLimit is the time since the first unanswered order or poll after
 	// which an upstream gets no new runs and polls no longer renew its lease.
 	silenceLimit = 250 * time.Millisecond
@@ -72,6 +75,9 @@
 	resolveInterval = 10 * time.Millisecond
 	// retryInterval is the pause after a failed poll or stop.
 	retryInterval = 30 * time.Millisecond
+	// lateOrderLimit is the time after which an order without an answer counts as never
+	// carried out; the platform says "seconds later".
+	lateOrderLimit = 15 * time.Second
 	// maxClockLag is the share by which an upstream's clock may be slow.
 	maxClockLag = 0.02
 	// ClockMargin covers a lease on a clock that is slow by maxClockLag, and network
