Don't start a suspect whose caller's connection has ended

Cause: the check right before a start was on the path of ordinary tasks only; tasks under which an upstream went down are placed on a path of their own. Ruled out: kept jobs, which run without a caller; other paths to place, as there are none besides the start of a job. Change: suspects only choose their upstream on that path, and all tasks of started jobs share the check and the placement. Test: TestSuspectOfCallerWhoseConnectionEndedDoesNotStart failed before (2 starts and complete, want 1 and cancelled). Conclusion: each start of a best-effort job passes the check.

--- a/lib/coordinator/abandoned_test.go
+++ b/lib/coordinator/abandoned_test.go
@@ -63,3 +63,27 @@
 		}
 	})
 }
+
+func TestSuspectOfCallerWhoseConnectionEndedDoesNotStart(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 3)
+		s.followList(ctx)
+		deadly := true
+		s.fleet.SetDeadly(func(string) bool {
+			first := deadly
+			deadly = false
+			return first
+		})
+		var gone atomic.Bool
+		j := jobOfCaller("a", 1, &gone)
+		j.Due, j.Deadline = j.Arrived.Add(20*time.Second), j.Arrived.Add(30*time.Second)
+		answer := make(chan coordinator.Answer, 1)
+		go func() { answer <- s.Submit(ctx, j) }()
+		time.Sleep(20 * time.Millisecond)
+		gone.Store(true)
+		a := <-answer
+		if n := s.fleet.Starts("a.0.0.0"); n != 1 || a.State != coordinator.Cancelled {
+			t.Errorf("%d starts and answer %v, want 1 and cancelled", n, a.State)
+		}
+	})
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -126,20 +126,15 @@
 			if j.kept() {
 				remaining = lateKeptRemaining
 			}
-			if t.isSuspect() {
-				out = append(out, c.placeSuspect(t, remaining, now)...)
+			if t.stepIndex == fullStep && !t.isSuspect() {
 				continue
 			}
-			if t.stepIndex == fullStep {
-				continue
-			}
-			chosen := c.chooseFor(j, t.stepIndex, t.avoid, 1, remaining)
-			if len(chosen) == 0 && len(t.avoid) > 0 {
-				chosen = c.chooseFor(j, t.stepIndex, nil, 1, remaining)
-			}
+			chosen := c.chooseForTask(t, remaining, now)
 			if len(chosen) == 0 {
-				// The other tasks of this step are equal, so they don't fit either.
-				fullStep = t.stepIndex
+				if !t.isSuspect() {
+					// The other tasks of this step are equal, so they don't fit either.
+					fullStep = t.stepIndex
+				}
 				continue
 			}
 			if j.abandoned() {
@@ -152,6 +147,18 @@
 	return out
 }
 
+// chooseForTask returns an upstream for a task of a started job, or none.
+func (c *Coordinator) chooseForTask(t *task, remaining time.Duration, now time.Time) []string {
+	if t.isSuspect() {
+		return c.chooseForSuspect(t, remaining, now)
+	}
+	chosen := c.chooseFor(t.job, t.stepIndex, t.avoid, 1, remaining)
+	if len(chosen) == 0 && len(t.avoid) > 0 {
+		chosen = c.chooseFor(t.job, t.stepIndex, nil, 1, remaining)
+	}
+	return chosen
+}
+
 // startWaiting starts the waiting jobs that fit, by rank, and refuses those that
 // can't be answered in time.
 func (c *Coordinator) startWaiting(now time.Time) []message {
--- a/lib/coordinator/suspects.go
+++ b/lib/coordinator/suspects.go
@@ -183,10 +183,10 @@
 	return address != "" && incarnation != 0 && s != nil && s.Incarnation > incarnation
 }
 
-// placeSuspect places a suspect on an upstream that is idle and takes nothing else
+// chooseForSuspect returns an upstream for a suspect that is idle and takes nothing else
 // meanwhile. Thus no other task suffers if the upstream goes down, and none is
 // suspected for it.
-func (c *Coordinator) placeSuspect(t *task, remaining time.Duration, now time.Time) []message {
+func (c *Coordinator) chooseForSuspect(t *task, remaining time.Duration, now time.Time) []string {
 	if t.isolateUntil.IsZero() {
 		t.isolateUntil = now.Add(isolationWait)
 	}
@@ -195,11 +195,10 @@
 	if len(chosen) == 0 && now.After(t.isolateUntil) {
 		chosen = c.chooseFor(t.job, t.stepIndex, t.avoid, 1, remaining)
 	}
-	if len(chosen) == 0 {
-		return nil
+	if len(chosen) > 0 {
+		t.isolateUntil = time.Time{}
 	}
-	t.isolateUntil = time.Time{}
-	return c.place([]*task{t}, chosen, now)
+	return chosen
 }
 
 // chooseIdle returns an upstream for a task on which nothing runs.
