Test that the server of callers hands over their connections

Cause: without ConnContext, the check whether a caller's connection has ended would be absent, and nothing would say so (found by the review). Change: a test of the wiring; it fails without the line ("the connection of the caller is unknown").

--- /dev/null
+++ b/radishweir/internal/composer/callers_test.go
@@ -0,0 +1,58 @@
+package composer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/router"
+	adapter "radishweir.org/platform"
+)
+
+// submissions is an adapter.Jobs that hands out what is submitted.
+type submissions chan coordinator.Job
+
+func (s submissions) Submit(_ context.Context, j coordinator.Job) coordinator.Answer {
+	s <- j
+	return coordinator.Answer{State: coordinator.Complete}
+}
+
+func TestServerOfCallersKnowsTheirConnections(t *testing.T) {
+	e, err := New(testSettings(), zerolog.Nop(), &atomic.Int64{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.router.Apply(router.Table{Version: 1, Queues: []router.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Timeout: time.Second}}})
+	jobs := make(submissions, 1)
+	e.callerServer.Handler.(*adapter.JobHandler).Jobs = jobs
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = e.callerServer.Serve(l) }()
+	t.Cleanup(func() { _ = e.callerServer.Close() })
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/q/00000000000000aa",
+		strings.NewReader(`{"best_effort":true,"steps":[{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":10}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h"
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("the answer was %s", resp.Status)
+	}
+	if j := <-jobs; j.CallerGone == nil {
+		t.Error("the connection of the caller is unknown")
+	}
+}
