Serve the evacuation of a failure domain

Operators may ask that nothing more starts on the upstreams of a failure domain.

Ruled out: a check by the coordinator alone, as an entry that cannot reach the store would go on sending runs; the owner of an upstream therefore refuses them too and reports the upstream as not usable. A watch of its own was ruled out because the store counts each watch: the requests share the watch of the configuration.

Change: lib/evacuator holds the set that was seen last. Coordinator and runner ask it before a start. What runs there ends by itself. Until the first read every failure domain counts as evacuated, so a restarted owner does not start what all others avoid. Switched on by the setting evacuation; without it nothing changes.

The tests fail without the checks.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -78,6 +78,9 @@
 	Local     Local
 	Remote    Remote
 	Observer  Observer
+	// Evacuated reports whether no run may start on the upstreams of a failure domain.
+	// It is called with locks held and must be fast; nil means that none is evacuated.
+	Evacuated func(domain string) bool
 	// Keeper stores the progress of kept jobs; nil if there are none.
 	Keeper Keeper
 	// Log receives events.
--- a/lib/coordinator/coordinator_test.go
+++ b/lib/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,8 @@
 	*coordinator.Coordinator
 	runner *runner.Runner
 	fleet  *simulator.Fleet
+	// evacuated is the name of the evacuated failure domain, empty if there is none.
+	evacuated atomic.Value
 
 	mu      sync.Mutex
 	answers []answer
@@ -57,8 +60,10 @@
 			Capacity: packer.Amount{CPU: 16000, Memory: 65536},
 		}, 1)
 	}
-	s.Coordinator = &coordinator.Coordinator{Self: "entry-1", Remote: noPeers{}, Log: zerolog.Nop()}
-	s.runner = &runner.Runner{Client: s.fleet, Log: zerolog.Nop()}
+	s.evacuated.Store("")
+	isEvacuated := func(domain string) bool { return domain != "" && domain == s.evacuated.Load() }
+	s.Coordinator = &coordinator.Coordinator{Self: "entry-1", Remote: noPeers{}, Evacuated: isEvacuated, Log: zerolog.Nop()}
+	s.runner = &runner.Runner{Client: s.fleet, Evacuated: isEvacuated, Log: zerolog.Nop()}
 	s.runner.Ended = func(_ string, e *wire.RunEnd) { s.RunEnded("entry-1", e) }
 	s.runner.Changed = func(name string) { s.UpdateStates("entry-1", false, []*wire.UpstreamState{s.runner.State(name)}) }
 	s.Local = s.runner
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -207,7 +207,7 @@
 
 // usable reports whether new runs may be sent to an upstream.
 func (c *Coordinator) usable(s *upstreamState) bool {
-	if !s.stateKnown || !s.usable || s.Leaving || !s.unlistedSince.IsZero() {
+	if !s.stateKnown || !s.usable || s.Leaving || !s.unlistedSince.IsZero() || c.isEvacuated(s) {
 		return false
 	}
 	return s.owner == c.Self || (c.peers[s.owner] != nil && c.peers[s.owner].up)
@@ -245,11 +245,29 @@
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		j.fits[i] = slices.ContainsFunc(c.services[j.Service], func(s *upstreamState) bool {
-			return s.Capacity.Holds(st.Need) && (st.Label == "" || s.HasLabel(st.Label))
+			return s.Capacity.Holds(st.Need) && (st.Label == "" || s.HasLabel(st.Label)) && !c.isEvacuated(s)
 		})
 	}
 }
 
+// isEvacuated reports whether the operators want no new runs on an upstream's failure
+// domain.
+func (c *Coordinator) isEvacuated(s *upstreamState) bool {
+	return c.Evacuated != nil && c.Evacuated(s.Domain)
+}
+
+// EvacuationChanged must be called after the result of Evacuated changed for any
+// failure domain.
+func (c *Coordinator) EvacuationChanged() {
+	c.mu.Lock()
+	for _, j := range c.jobs {
+		c.updateFit(j)
+	}
+	c.fleetSeenAt = time.Time{}
+	c.mu.Unlock()
+	c.Wake()
+}
+
 // SetUpstreams replaces the list of upstreams. Their owners are learned through
 // UpdateStates.
 func (c *Coordinator) SetUpstreams(list []runner.Upstream) {
--- a/lib/operator/operator.go
+++ b/lib/operator/operator.go
@@ -119,6 +119,8 @@
 	ConfigurationTakenAt time.Time `json:"configuration_taken_at"`
 	// UpstreamsReadAt is the time of the last update of the list of upstreams.
 	UpstreamsReadAt time.Time `json:"upstreams_read_at"`
+	// EvacuatedDomains are the failure domains that take no new runs.
+	EvacuatedDomains []string `json:"evacuated_domains,omitempty"`
 	// Revision is the revision of the registrations that determine the owners of
 	// the upstreams.
 	Revision    int64            `json:"revision"`
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -201,6 +201,8 @@
 		return false
 	case h.stopsOverdue(now) || h.hasOrphans():
 		return false
+	case h.runner.Evacuated != nil && h.runner.Evacuated(h.upstream.Domain):
+		return false
 	}
 	return h.listedEnds()+uint64(len(h.runs)) < maxUnacknowledgedEnds
 }
@@ -228,6 +230,12 @@
 	return false
 }
 
+func (h *ownedUpstream) name() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.upstream.Name
+}
+
 func (h *ownedUpstream) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -110,6 +110,9 @@
 	Ended func(requester string, e *wire.RunEnd)
 	// Changed is called after the state of an upstream changed.
 	Changed func(upstream string)
+	// Evacuated reports whether no run may start on the upstreams of a failure domain;
+	// nil means that none is evacuated.
+	Evacuated func(domain string) bool
 	// Observer may be nil.
 	Observer Observer
 	// Log receives events.
@@ -293,6 +296,14 @@
 	return &wire.UpstreamState{Upstream: name}
 }
 
+// EvacuationChanged must be called after the result of Evacuated changed for any failure
+// domain. It tells the other entries which upstreams are usable.
+func (r *Runner) EvacuationChanged() {
+	for _, h := range r.ownedUpstreams() {
+		r.Changed(h.name())
+	}
+}
+
 // RunCount returns the number of runs on all owned upstreams.
 func (r *Runner) RunCount() int {
 	n := 0
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -28,6 +28,7 @@
 	"radishweir.org/lib/committer"
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/enroller"
+	"radishweir.org/lib/evacuator"
 	"radishweir.org/lib/keeper"
 	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/operator"
@@ -82,6 +83,7 @@
 	registry        *prometheus.Registry
 	store           *adapter.Client
 	router          *router.Router
+	evacuator       *evacuator.Evacuator
 	enroller        *enroller.Enroller
 	roster          *roster.Roster
 	runner          *runner.Runner
@@ -130,6 +132,7 @@
 	rec := recorder.New(e.registry)
 	e.store = adapter.NewClient(s.PlatformAddress, rec)
 	e.router = &router.Router{Log: e.Log}
+	e.evacuator = &evacuator.Evacuator{Prefix: adapter.EvacuationPrefix, Changed: e.applyEvacuation, Log: e.Log}
 	e.buildJobComponents(rec)
 	e.buildMembership()
 	e.buildKeeper()
@@ -139,14 +142,14 @@
 
 // buildJobComponents builds the components that run jobs.
 func (e *Entry) buildJobComponents(rec *recorder.Recorder) {
-	e.runner = &runner.Runner{Client: &adapter.UpstreamClient{Counter: rec}, Ended: e.reportRunEnd, Changed: e.publishState, Observer: rec, Log: e.Log}
+	e.runner = &runner.Runner{Client: &adapter.UpstreamClient{Counter: rec}, Ended: e.reportRunEnd, Changed: e.publishState, Evacuated: e.evacuated(), Observer: rec, Log: e.Log}
 	e.messenger = &messenger.Messenger{
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
 		StateFrames: e.cores() * stateFramesPerCore,
 	}
 	e.coordinator = &coordinator.Coordinator{
 		Self: e.Name, Domain: e.FailureDomain, PeerTimeout: messenger.SilenceLimit, FarFactor: e.farFactor(),
-		Local: e.runner, Remote: e.messenger, Observer: rec, Log: e.Log,
+		Local: e.runner, Remote: e.messenger, Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
 	}
 }
 
@@ -156,12 +159,21 @@
 	e.roster = &roster.Roster{Decode: (&adapter.UpstreamDecoder{}).Decode, Changed: e.assignUpstreams, Log: e.Log}
 	watch := func(prefix string, pace time.Duration, apply func(watcher.Update)) *watcher.Watcher {
 		w := &watcher.Watcher{Store: e.store, Prefix: prefix, Pace: pace, LongestBackoff: longestBackoff, Log: e.Log}
-		w.On(prefix, apply)
+		if apply != nil {
+			w.On(prefix, apply)
+		}
 		return w
 	}
-	e.watchers = []*watcher.Watcher{
-		watch(platform.EntryPrefix, 0, e.enroller.Apply),
-		watch(adapter.ConfigurationKey, 0, e.applyConfiguration),
+	e.watchers = []*watcher.Watcher{watch(platform.EntryPrefix, 0, e.enroller.Apply)}
+	if e.Evacuation {
+		// Evacuations share the watch of the configuration, as the store counts each
+		// watch. They come first: the entry serves as soon as it has a configuration.
+		w := watch(adapter.OperatorPrefix, 0, nil)
+		w.On(adapter.EvacuationPrefix, e.evacuator.Apply)
+		w.On(adapter.ConfigurationKey, e.applyConfiguration)
+		e.watchers = append(e.watchers, w)
+	} else {
+		e.watchers = append(e.watchers, watch(adapter.ConfigurationKey, 0, e.applyConfiguration))
 	}
 	e.relayer = &relayer.Relayer{Self: e.Name, Apply: e.roster.Apply, Log: e.Log}
 	e.roster.Relay = e.relayer.Relay
@@ -169,6 +181,21 @@
 	e.relayer.Read, e.relayer.ReadAt = w.Run, w.Heard
 }
 
+// applyEvacuation puts a change of the evacuated failure domains in force.
+func (e *Entry) applyEvacuation() {
+	e.coordinator.EvacuationChanged()
+	e.runner.EvacuationChanged()
+}
+
+// evacuated returns the function that reports evacuated failure domains; nil if this
+// deployment has no evacuations.
+func (e *Entry) evacuated() func(domain string) bool {
+	if !e.Evacuation {
+		return nil
+	}
+	return e.evacuator.Evacuated
+}
+
 // buildServers builds the servers for callers, the load balancer and operators.
 func (e *Entry) buildServers() {
 	e.callerServer = &http.Server{
--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -23,6 +23,10 @@
 	gauge("upstream_list_age_seconds", "Time since the list of upstreams was known to be that of the store.", func() float64 {
 		return time.Since(e.relayer.CurrentAt()).Seconds()
 	})
+	gauge("failure_domains_evacuated", "Failure domains that take no new runs.", func() float64 {
+		domains, _ := e.evacuator.Domains()
+		return float64(len(domains))
+	})
 	gauge("jobs_open", "Jobs without an answer.", func() float64 {
 		open, _ := e.coordinator.Counts()
 		return float64(open)
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -25,6 +25,7 @@
 	Cores            string `toml:"cores"`
 	FarFactor        string `toml:"far_factor"`
 	MemoryMB         int    `toml:"memory_mb"`
+	Evacuation       bool   `toml:"evacuation"`
 	BalancerWait     string `toml:"balancer_wait"`
 	DrainLimit       string `toml:"drain_limit"`
 }
@@ -44,6 +45,7 @@
 		{Key: "cores", Value: &s.Cores, Default: "1", Check: loader.FloatRange(0.01, 1024)},
 		{Key: "far_factor", Value: &s.FarFactor, Default: "1", Check: loader.FloatRange(1, 100)},
 		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.IntRange(32, 1<<20)},
+		{Key: "evacuation", Value: &s.Evacuation, Default: false},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.DurationRange(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.DurationRange(time.Second, time.Hour)},
 	}
