--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -24,8 +24,7 @@
 		return time.Since(e.relayer.CurrentAt()).Seconds()
 	})
 	gauge("failure_domains_evacuated", "Failure domains that take no new runs.", func() float64 {
-		domains, _ := e.evacuator.Domains()
-		return float64(len(domains))
+		return float64(len(e.evacuator.Message().GetDomains()))
 	})
 	gauge("jobs_open", "Jobs without an answer.", func() float64 {
 		open, _ := e.coordinator.Counts()
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -184,12 +184,16 @@
 		e.coordinator.RunEnded(peer, end)
 	}
 	e.relayer.Handle(peer, f)
+	if e.Evacuation {
+		e.evacuator.Learn(f.GetEvacuation())
+	}
 	e.handleKeptFields(peer, f)
 }
 
 // Complete implements messenger.Handler.
 func (e *Entry) Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool) {
 	e.relayer.Fill(peer, f)
+	f.Evacuation = e.evacuator.Message()
 	if f.Keeping = e.keptJobsExist.Load(); f.Keeping {
 		f.Pending = e.pending.refresh(e.Name, e.keeper.Pending)
 	}
--- a/radishweir/internal/composer/status.go
+++ b/radishweir/internal/composer/status.go
@@ -16,7 +16,7 @@
 			UpstreamsReadAt: e.relayer.CurrentAt(), Revision: revision, WaitingJobs: waiting,
 		},
 	}
-	st.Leased.EvacuatedDomains, _ = e.evacuator.Domains()
+	st.Leased.EvacuatedDomains = e.evacuator.Message().GetDomains()
 	for _, m := range members {
 		st.Members = append(st.Members, operator.Member{
 			Name: m.GetName(), Incarnation: m.GetIncarnation(), FailureDomain: m.GetFailureDomain(), Registered: true,
