Log when a job's tasks were sent and how many runs were rejected

The line job_ended did not tell whether a late job waited for its first task, for its last one, or for runs that an upstream's owner rejected for want of room. It now has first_start_ms, last_start_ms, placed_at_once and rejected.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -58,6 +58,9 @@
 	Placed(own, sameDomain bool)
 	// Retry records that a task must run again, and how its last run ended.
 	Retry(cause string)
+	// Delegation records a step of handing a job to a peer: sent, answered, refused or
+	// lost.
+	Delegation(result string)
 	// LogLineSuppressed records that the log line about a job in the given
 	// state was not written.
 	LogLineSuppressed(state string)
@@ -81,6 +84,8 @@
 	// Evacuated reports whether no run may start on the upstreams of a failure domain.
 	// It is called with locks held and must be fast; nil means that none is evacuated.
 	Evacuated func(domain string) bool
+	// Delegator hands jobs to other entries; nil if all jobs run here.
+	Delegator Delegator
 	// Keeper stores the progress of kept jobs; nil if there are none.
 	Keeper Keeper
 	// Log receives events.
@@ -129,6 +134,10 @@
 	// second: what it started recently, or its share of the fleet if that is
 	// more.
 	startRate float64
+	// lastDelegation is the number of the last delegation of a job.
+	lastDelegation uint64
+	// shortAt is the last time at which a waiting job found no capacity.
+	shortAt time.Time
 	// outbox holds the messages to send, in order; sending is true while a call of
 	// sendQueued sends them.
 	outbox  []message
@@ -138,13 +147,14 @@
 }
 
 // message is a message for the owner of an upstream: a run request, a
-// cancellation, or a release, which says that the end of a run is stored.
-// Exactly one of the pointers is set.
+// cancellation, or a release, which says that the end of a run is stored; or with add
+// one for another entry about a delegated job. Exactly one of the last four is set.
 type message struct {
 	owner   string
 	request *wire.RunRequest
 	cancel  *wire.RunCancel
 	release *wire.RunSafe
+	add     func(f *wire.PeerFrame)
 }
 
 // Init prepares the coordinator; it is called once before any other method.
@@ -287,10 +297,11 @@
 	} else {
 		c.rememberAnswer(j, a)
 	}
-	if i := slices.Index(c.waiting, j); i >= 0 {
-		c.waiting = slices.Delete(c.waiting, i, i+1)
-	}
+	c.removeWaiting(j)
 	var out []message
+	if j.delegate != "" {
+		out = append(out, c.endDelegation(j))
+	}
 	for _, t := range j.tasks {
 		if t.placed {
 			out = append(out, message{owner: t.owner, cancel: &wire.RunCancel{Upstream: t.upstream, Task: t.name(), Run: t.run}})
@@ -304,6 +315,13 @@
 	return out
 }
 
+// removeWaiting removes a job from the waiting ones; the caller holds the lock.
+func (c *Coordinator) removeWaiting(j *job) {
+	if i := slices.Index(c.waiting, j); i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
+}
+
 // recordAnswer counts and logs an answer; the caller holds the lock.
 func (c *Coordinator) recordAnswer(j *job, a Answer) {
 	now := time.Now()
@@ -327,11 +345,22 @@
 	usable, peers := c.countReachable(j.Service)
 	line.Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
 		Int64("after_ms", now.Sub(j.Arrived).Milliseconds()).Int64("late_ms", late.Milliseconds()).
+		Int64("first_start_ms", sinceOrNever(j.firstPlacedAt, j.Arrived)).Int64("last_start_ms", sinceOrNever(j.lastPlacedAt, j.Arrived)).
+		Int("placed_at_once", j.placedAtOnce).Int("rejected", j.rejected).
 		Int("tasks", len(j.tasks)).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.started).
 		Strs("missed_at", j.failedOrActiveUpstreams()).Int("waiting", len(c.waiting)).
 		Int("upstreams_usable", usable).Int("peers_up", peers).Msg("job_ended")
 }
 
+// sinceOrNever returns the milliseconds from one time to another, -1 if the latter is
+// zero.
+func sinceOrNever(t, from time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return t.Sub(from).Milliseconds()
+}
+
 // refuse returns the answer to a job that is not accepted; the caller holds the
 // lock.
 func (c *Coordinator) refuse(j *job, reason string) Answer {
@@ -368,6 +397,10 @@
 func (c *Coordinator) send(list []message) {
 	for _, m := range list {
 		switch {
+		case m.add != nil:
+			if !c.Remote.Send(m.owner, m.add) {
+				c.delegateUnreachable(m.owner)
+			}
 		case m.release != nil && m.owner == c.Self:
 			c.Local.Safe(m.release)
 		case m.release != nil:
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -191,10 +191,13 @@
 }
 
 // HasRunsAt reports whether a peer owns upstreams on which tasks of this entry's
-// jobs are placed.
+// jobs are placed, or runs jobs that this entry delegated to it.
 func (c *Coordinator) HasRunsAt(peer string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hasDelegatedTo(peer) {
+		return true
+	}
 	for _, j := range c.jobs {
 		for _, t := range j.tasks {
 			if t.placed && t.owner == peer {
@@ -425,6 +428,7 @@
 func (c *Coordinator) PeerDown(peer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enqueueMessages(c.endDelegationsTo(peer))
 	if l := c.peers[peer]; l != nil {
 		l.removeReceived(l.lastNumber)
 		l.up = false
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -58,6 +58,9 @@
 	Deadline time.Time
 	// MaxFailures is the number of failed runs of one task that fail the job.
 	MaxFailures int
+	// Delegated is true if the job came from another entry, which holds its caller. It is
+	// not handed on.
+	Delegated bool
 	// CallerGone reports whether the caller's connection has ended, which may be
 	// before the end of the context that Submit got; nil if that is unknown.
 	CallerGone func() bool
@@ -211,6 +214,14 @@
 	// started is true while a task may have been started; such a job is never
 	// refused.
 	started bool
+	// firstPlacedAt and lastPlacedAt are the times at which a task was sent to an upstream
+	// for the first and for the last time; zero before.
+	firstPlacedAt time.Time
+	lastPlacedAt  time.Time
+	// placedAtOnce is the number of tasks that were sent together with the first one, and
+	// rejected the number of runs that did not start for want of room.
+	placedAtOnce int
+	rejected     int
 	// ran is true once a run has certainly started.
 	ran bool
 	// hasSuspects is true once an upstream went down under a task.
@@ -218,6 +229,7 @@
 	// value is the value of the job per core-second, see kindStats.value.
 	value  float64
 	answer chan Answer
+	delegation
 	// callers is the number of callers that wait for the answer, callersGone holds
 	// the CallerGone of all that came.
 	callers     int
@@ -311,7 +323,7 @@
 
 // hasWaitingTasks reports whether any task waits for an upstream.
 func (j *job) hasWaitingTasks() bool {
-	if j.placed+j.done == len(j.tasks) {
+	if j.placed+j.done == len(j.tasks) || j.delegate != "" {
 		return false
 	}
 	for _, t := range j.tasks {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		a := Answer{State: Expired, Reason: "the caller's deadline passed"}
-		if !j.started {
+		if !j.started && j.delegate == "" {
 			a = Answer{State: Refused, Reason: "the caller's deadline passed", RetryAfter: retryAfter(c.backlog())}
 		}
 		out = append(out, c.close(j, a)...)
@@ -167,6 +167,7 @@
 	}
 	var out []message
 	ahead, rate := 0.0, c.startRate
+	lagging := c.Delegator != nil && c.Delegator.Lagging()
 	c.sortWaiting()
 	for _, j := range slices.Clone(c.waiting) {
 		if c.suspended(j) {
@@ -178,6 +179,13 @@
 			continue
 		}
 		remaining := j.effectiveDue().Sub(now) - startMargin
+		slack := remaining - c.shortestTimeToEnd(j)
+		if lagging && slack > 0 {
+			if m, ok := c.delegate(j, slack, 0, now); ok {
+				out = append(out, m)
+				continue
+			}
+		}
 		if remaining < c.shortestTimeToEnd(j) && j.kept() {
 			remaining = lateKeptRemaining
 		}
@@ -195,6 +203,12 @@
 		if len(chosen) == 0 {
 			ahead += workOf(&j.Job)
 			wait := time.Duration(ahead / rate * float64(time.Second))
+			c.shortAt = now
+			if m, ok := c.delegate(j, slack, wait, now); ok {
+				ahead -= workOf(&j.Job)
+				out = append(out, m)
+				continue
+			}
 			if !j.kept() && wait.Seconds() > maxWaitRatio*(remaining-c.shortestTimeToEnd(j)).Seconds() {
 				out = append(out, c.close(j, Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)})...)
 			}
@@ -294,6 +308,11 @@
 			l.usedUntil = now.Add(farPeerPeriod)
 		}
 		j.placed++
+		if j.firstPlacedAt.IsZero() || j.firstPlacedAt.Equal(now) {
+			j.firstPlacedAt = now
+			j.placedAtOnce++
+		}
+		j.lastPlacedAt = now
 		c.startedWork.add(now, st.work()/float64(st.Tasks))
 		c.startedCores.add(now, float64(st.Need.CPU)/1000)
 		if c.Observer != nil {
@@ -396,6 +415,8 @@
 	case wire.RunEnd_stopped, wire.RunEnd_lost:
 		j.ran = true
 		t.avoidUpstream(e.GetUpstream())
+	case wire.RunEnd_no_room:
+		j.rejected++
 	case wire.RunEnd_superseded:
 		t.run += runNumberGap
 	case wire.RunEnd_refused:
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -43,6 +43,7 @@
 	runs               *prometheus.CounterVec
 	wastedCoreSeconds  *prometheus.CounterVec
 	takeovers          prometheus.Counter
+	delegations        *prometheus.CounterVec
 	suppressedLogLines *prometheus.CounterVec
 	queueKinds         labelLimiter
 }
@@ -79,6 +80,7 @@
 		takeovers: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "upstream_takeovers_total", Help: "Upstreams that this entry became the owner of.",
 		}),
+		delegations:        counter("delegations_total", "Jobs handed to other entries, by step.", "result"),
 		suppressedLogLines: counter("log_lines_left_out_total", "Lines about jobs left out to bound the volume of logs.", "state"),
 		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
@@ -123,6 +125,9 @@
 // Takeover counts one upstream that this entry became the owner of.
 func (r *Recorder) Takeover() { r.takeovers.Inc() }
 
+// Delegation counts one step of handing a job to another entry.
+func (r *Recorder) Delegation(result string) { r.delegations.WithLabelValues(result).Inc() }
+
 // LogLineSuppressed counts one log line about a job that was not written
 // because of the limit on log volume.
 func (r *Recorder) LogLineSuppressed(state string) { r.suppressedLogLines.WithLabelValues(state).Inc() }
