--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -45,6 +45,8 @@
 	Kind string
 	// Service is the name of the service whose upstreams may run the job.
 	Service string
+	// Priority is that of the queue; 0 for the most urgent ones.
+	Priority int
 	// Spec is handed to the upstreams unchanged.
 	Spec string
 	// Steps are the parts of the job. A step may depend only on earlier ones.
