--- /dev/null
+++ b/lib/packer/tight.go
@@ -0,0 +1,132 @@
+package packer
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// sizeSamples is the number of recent needs that a Sizes holds: about a tenth of a
+	// second of starts of one entry, so that the order follows a change of the load
+	// before the callers of that load give up.
+	sizeSamples = 64
+	// tieWidth is the difference, in thousandths of a core, below which two amounts of
+	// wasted CPU count as equal and the faster upstream is chosen.
+	tieWidth = 250
+)
+
+// Sizes holds the CPU needs of recent tasks. Its zero value is ready for use.
+type Sizes struct {
+	// recent is a ring buffer of needs in thousandths of a core, and sorted holds the
+	// same needs in ascending order.
+	recent, sorted []int64
+	next           int
+}
+
+// Add records the need of a task in thousandths of a core.
+func (s *Sizes) Add(cpu int64) {
+	if len(s.recent) < sizeSamples {
+		s.recent = append(s.recent, cpu)
+	} else {
+		i, _ := slices.BinarySearch(s.sorted, s.recent[s.next])
+		s.sorted = slices.Delete(s.sorted, i, i+1)
+		s.recent[s.next] = cpu
+	}
+	s.next = (s.next + 1) % sizeSamples
+	i, _ := slices.BinarySearch(s.sorted, cpu)
+	s.sorted = slices.Insert(s.sorted, i, cpu)
+}
+
+// ShareUpTo returns the share of recent tasks that need at most the given CPU, in
+// thousandths of a core; 0 without tasks.
+func (s *Sizes) ShareUpTo(cpu int64) float64 {
+	if len(s.sorted) == 0 {
+		return 0
+	}
+	i, _ := slices.BinarySearch(s.sorted, cpu+1)
+	return float64(i) / float64(len(s.sorted))
+}
+
+// place is the next task's place on a candidate.
+type place struct {
+	Candidate
+	// placed is the number of tasks that are placed on the candidate already.
+	placed int
+	// wasted is the CPU that is expected to stay unused after the next task, in units
+	// of tieWidth.
+	wasted int64
+}
+
+// PackTight chooses upstreams like Pack, for use while capacity is short. Places are
+// ordered by rank, then by the CPU that is expected to stay unused: what is left on
+// the upstream, times the share of recent tasks that don't fit into it. Then come the
+// faster upstreams, the caller's own ones and those in its failure domain.
+func PackTight(n int, need Amount, candidates []Candidate, sizes *Sizes) []string {
+	best := make([]place, 0, min(n, len(candidates))+1)
+	for _, c := range candidates {
+		best = insertPlace(best, n, need, place{Candidate: c}, sizes)
+	}
+	out := make([]string, 0, n)
+	for len(out) < n && len(best) > 0 {
+		p := best[0]
+		best = slices.Delete(best, 0, 1)
+		out = append(out, p.Name)
+		p.Free = p.Free.Minus(need)
+		p.placed++
+		best = insertPlace(best, n-len(out), need, p, sizes)
+	}
+	return out
+}
+
+// insertPlace inserts the next place on a candidate, if there is one, into the ordered
+// list of the best n places.
+func insertPlace(list []place, n int, need Amount, p place, sizes *Sizes) []place {
+	if !p.Free.Holds(need) || (p.MaxTasks > 0 && p.placed >= p.MaxTasks) {
+		return list
+	}
+	left := p.Free.CPU - need.CPU
+	p.wasted = int64(float64(left)*(1-sizes.ShareUpTo(left))) / tieWidth
+	if n <= 0 || (len(list) >= n && comparePlaces(p, list[n-1]) >= 0) {
+		return list
+	}
+	i, _ := slices.BinarySearchFunc(list, p, comparePlaces)
+	list = slices.Insert(list, i, p)
+	return list[:min(len(list), n)]
+}
+
+// comparePlaces orders places as PackTight does.
+func comparePlaces(a, b place) int {
+	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.wasted, b.wasted); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Slowness, b.Slowness); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(distance(a.Candidate), distance(b.Candidate)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// shortageExit is the multiple of the places needed soon that must be free before a
+// shortage ends, so that the order doesn't change with every start.
+const shortageExit = 2
+
+// Shortage tells when to use PackTight. Its zero value is ready for use.
+type Shortage struct{ short bool }
+
+// Short reports whether capacity is short, given the free places on near upstreams and
+// the number of tasks that start in 100 ms, the time after which other entries' starts
+// are known. A shortage begins when there are fewer places than tasks and ends when
+// there are twice as many.
+func (s *Shortage) Short(places, tasks int) bool {
+	if s.short {
+		s.short = places < shortageExit*tasks
+	} else {
+		s.short = places < tasks
+	}
+	return s.short
+}
