--- a/lib/packer/bench_test.go
+++ b/lib/packer/bench_test.go
@@ -23,3 +23,24 @@
 		})
 	}
 }
+
+func BenchmarkPackTight(b *testing.B) {
+	sizes := &packer.Sizes{}
+	for i := range 64 {
+		sizes.Add(int64(10000 + 200*i))
+	}
+	for _, n := range []int{120, 350} {
+		list := make([]packer.Candidate, n)
+		for i := range list {
+			list[i] = packer.Candidate{
+				Name: fmt.Sprintf("u%04d", i*7919%n), Free: packer.Amount{CPU: int64(8000 + i*7919%n*100), Memory: 65536},
+				Slowness: 0.5 + float64(i%10)/10, SameDomain: i%4 == 0,
+			}
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				packer.PackTight(8, packer.Amount{CPU: 16000, Memory: 64}, list, sizes)
+			}
+		})
+	}
+}
