--- a/lib/shedder/weight.go
+++ b/lib/shedder/weight.go
@@ -15,15 +15,22 @@
 	// weightInterval is the least time between two changes of the weight. Each change
 	// moves upstreams, which start nothing for some milliseconds and are polled anew.
 	weightInterval = 5 * time.Second
-	// maxSteps is the number of times that the weight is halved at most. After two steps
-	// the entry keeps a quarter of the upstreams; a third would move an eighth.
-	maxSteps = 2
-	// raiseDelay is how long the entry must be well before its weight is doubled. Bursts
-	// of demand last 9 to 15 s; upstreams should not move twice for each.
-	raiseDelay = 30 * time.Second
+	// steps is the number of steps of equal size from no weight to the full one. A raise
+	// that fails moves a quarter of the upstreams in vain, not half.
+	steps = 4
+	// busySteps is what a busy entry keeps. Half instead of three quarters made peers
+	// busy in turn that were well, so that jobs were late at these as well.
+	busySteps = 3
+	// overloadedSteps is what an overloaded entry keeps: the least that is not nothing,
+	// as its backlog makes all jobs on its upstreams late until it is worked off.
+	overloadedSteps = 1
+	// raiseDelay is how long the entry must be well before its weight rises by one step.
+	// A raise that fails makes jobs late for some seconds: in the load of TestSlowEntries,
+	// 30 s gave 11% late jobs and a minute 7%.
+	raiseDelay = time.Minute
 	// maxFailedRaises limits how often raiseDelay is doubled for raises that had to be
-	// taken back: at most 4 min, so that a repaired entry regains its share within 8 min.
-	maxFailedRaises = 3
+	// taken back. An entry that is well again rises after at most 4 min.
+	maxFailedRaises = 2
 	// sizeChange is the relative change of the full weight that is worth moving
 	// upstreams for. Measured work of callers varies by less without a cause.
 	sizeChange = 0.25
@@ -44,11 +51,11 @@
 type ownership struct {
 	// full is the weight by size and weight the one in force; 0 before the first call.
 	full, weight uint32
-	// steps is the number of times that the weight is halved.
-	steps int
+	// missing is the number of steps by which the weight is lowered.
+	missing int
 	// changeAt is the earliest time of the next change.
 	changeAt time.Time
-	// raiseAt is the time at which the weight is doubled if the entry stays well.
+	// raiseAt is the time at which the weight rises if the entry stays well.
 	raiseAt time.Time
 	// provenAt is the time after which the last raise counts as successful.
 	provenAt     time.Time
@@ -65,11 +72,11 @@
 	}
 	o := &m.ownership
 	if o.weight == 0 {
-		o.full, o.weight = full, full
+		o.full, o.weight = full, max(1, full)
 		o.changeAt = now.Add(weightInterval)
 	}
-	allowed := min(int(m.State()), maxSteps)
-	if allowed >= o.steps {
+	wanted := [...]int{Normal: 0, Busy: steps - busySteps, Overloaded: steps - overloadedSteps}[m.State()]
+	if wanted >= o.missing {
 		o.raiseAt = now.Add(raiseDelay << o.failedRaises)
 	}
 	if now.Before(o.changeAt) {
@@ -79,27 +86,28 @@
 		o.full = full
 	}
 	switch {
-	case allowed > o.steps && 3*overloadedPeers <= 2*peers:
-		o.lower(now)
-	case allowed < o.steps && !now.Before(o.raiseAt):
-		o.steps--
+	case wanted > o.missing && 3*overloadedPeers <= 2*peers:
+		o.lower(now, wanted)
+	case wanted < o.missing && !now.Before(o.raiseAt):
+		o.missing--
 		o.raiseAt = now.Add(raiseDelay << o.failedRaises)
 		o.provenAt = o.raiseAt
 	}
-	if w := max(1, o.full>>o.steps); w != o.weight {
+	if w := max(1, o.full*uint32(steps-o.missing)/steps); w != o.weight {
 		o.weight = w
 		o.changeAt = now.Add(weightInterval)
 	}
 	return o.weight
 }
 
-// lower halves the weight.
-func (o *ownership) lower(now time.Time) {
+// lower lowers the weight by the given number of steps in all. If a raise had to be taken
+// back, the next one waits longer.
+func (o *ownership) lower(now time.Time, missing int) {
 	if now.Before(o.provenAt) {
 		o.failedRaises = min(o.failedRaises+1, maxFailedRaises)
 	} else {
 		o.failedRaises = 0
 	}
 	o.provenAt = time.Time{}
-	o.steps++
+	o.missing = missing
 }
