--- a/lib/divider/divider_test.go
+++ b/lib/divider/divider_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"radishweir.org/lib/divider"
@@ -55,3 +56,50 @@
 		t.Errorf("the member with 0.75 of the weight owns a share of %.2f, want 0.7 to 0.8", share)
 	}
 }
+
+// Guards against a change of one weight that moves upstreams of other entries, or more of
+// its own than the change is worth.
+func TestHalvedWeight(t *testing.T) {
+	var list []divider.Member
+	for i := range 33 {
+		cores := 0.8
+		if i >= 6 {
+			cores = 0.144 + (0.48-0.144)*float64(i-6)/26
+		}
+		list = append(list, divider.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%4), Weight: int(math.Round(cores * 20))})
+	}
+	const upstreams = 350
+	owners := func() (out [upstreams]string) {
+		for u := range out {
+			out[u], _ = divider.Owner(fmt.Sprint("u", u), fmt.Sprint("d", u%4), list)
+		}
+		return out
+	}
+	before, total := owners(), 0
+	for i := range list {
+		m := &list[i]
+		weight := m.Weight
+		m.Weight = weight / 2
+		owned, moved := 0, 0
+		for u, owner := range owners() {
+			if before[u] == m.Name {
+				owned++
+			}
+			if owner == before[u] {
+				continue
+			}
+			moved++
+			if before[u] != m.Name {
+				t.Errorf("u%d moved from %s although only %s has less weight", u, before[u], m.Name)
+			}
+		}
+		t.Logf("weight %d to %d: %d of %d upstreams moved", weight, m.Weight, moved, owned)
+		total += moved
+		m.Weight = weight
+	}
+	// Half of each entry's upstreams move, less those it keeps as its domain's total
+	// weight falls too; odd weights are rounded down.
+	if total < upstreams*35/100 || total > upstreams*55/100 {
+		t.Errorf("%d moves over all entries for %d upstreams", total, upstreams)
+	}
+}
--- a/lib/shedder/shedder.go
+++ b/lib/shedder/shedder.go
@@ -8,9 +8,9 @@
 //
 // An entry sheds in this order:
 //
-//  1. Busy: half of its weight in the division of the upstreams, and a quarter once it
-//     is overloaded. The weight changes at most once in 5 s, as each change moves
-//     upstreams, and returns only after the entry was well for 30 s.
+//  1. Busy: a quarter of its weight in the division of the upstreams, and three quarters
+//     once it is overloaded. The weight changes at most once in 5 s, as each change moves
+//     upstreams, and returns in quarters, each after the entry was well for a minute.
 //  2. Busy or overloaded: jobs, by package delegator, which reads Lag.
 //  3. Overloaded for 2 s: new connections, for 1 s in 10, unless more than a third of
 //     the entries of the failure domain are overloaded, or their states are unknown.
@@ -30,7 +30,8 @@
 //	ready := m.Ready(now, overloadedPeers, peers)
 //
 // A Monitor is not safe for concurrent use. The peers are the other entries of the
-// failure domain that are up; those whose state is unknown are left out of both numbers.
+// failure domain that are up; those that told no lag within StateAge are left out of both
+// numbers. Those that told one above OverloadedLag are overloaded.
 //
 // The integration counts the time in each state, the changes of the registered weight,
 // the upstreams that these changes moved and the answers that the entry is not ready.
@@ -57,9 +58,13 @@
 	// busyLag is the mean lag above which the entry is busy. The median job has 8 ms from
 	// submission to its first start; 15 ms more are a sixth of an urgent job's slack.
 	busyLag = 15 * time.Millisecond
-	// overloadedLag is the mean lag above which the entry is overloaded. A job passes two
-	// entries, its first and the upstream's owner, whose lags would use up its slack.
-	overloadedLag = 40 * time.Millisecond
+	// OverloadedLag is the mean lag above which the entry is overloaded, and a peer that
+	// reports it. A job passes two entries, its first and the upstream's owner, whose lags
+	// would use up most of its slack.
+	OverloadedLag = 40 * time.Millisecond
+	// StateAge is the age of a peer's last frame up to which its state counts as known.
+	// Frames between far entries come once a second.
+	StateAge = 1500 * time.Millisecond
 	// enterDelay is how long the lag must be above the threshold of a state.
 	enterDelay = time.Second
 	// leaveDelay is how long the lag must be below half of it. It covers the pause
@@ -152,7 +157,7 @@
 	}
 	m.sampledAt = s.At
 	m.busy.update(s.At, m.lag, busyLag)
-	m.overloaded.update(s.At, m.lag, overloadedLag)
+	m.overloaded.update(s.At, m.lag, OverloadedLag)
 	after := m.State()
 	if after == Overloaded && before != Overloaded {
 		if at := s.At.Add(connectionsDelay); at.After(m.shedConnectionsAt) {
