--- a/lib/divider/divider_test.go
+++ b/lib/divider/divider_test.go
@@ -69,33 +69,31 @@
 		list = append(list, divider.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%4), Weight: int(math.Round(cores * 20))})
 	}
 	const upstreams = 350
-	owners := func() (out [upstreams]string) {
-		for u := range out {
-			out[u], _ = divider.Owner(fmt.Sprint("u", u), fmt.Sprint("d", u%4), list)
-		}
-		return out
+	owner := func(u int) string {
+		name, _ := divider.Owner(fmt.Sprint("u", u), fmt.Sprint("d", u%4), list)
+		return name
 	}
-	before, total := owners(), 0
+	total := 0
 	for i := range list {
-		m := &list[i]
-		weight := m.Weight
-		m.Weight = weight / 2
-		owned, moved := 0, 0
-		for u, owner := range owners() {
-			if before[u] == m.Name {
+		m, weight, owned, moved := &list[i], list[i].Weight, 0, 0
+		for u := range upstreams {
+			m.Weight = weight
+			before := owner(u)
+			m.Weight = weight / 2
+			after := owner(u)
+			if before == m.Name {
 				owned++
 			}
-			if owner == before[u] {
-				continue
+			if after != before {
+				moved++
 			}
-			moved++
-			if before[u] != m.Name {
-				t.Errorf("u%d moved from %s although only %s has less weight", u, before[u], m.Name)
+			if after != before && before != m.Name {
+				t.Errorf("u%d moved from %s although only %s has less weight", u, before, m.Name)
 			}
 		}
-		t.Logf("weight %d to %d: %d of %d upstreams moved", weight, m.Weight, moved, owned)
-		total += moved
 		m.Weight = weight
+		total += moved
+		t.Logf("weight %d to %d: %d of %d upstreams moved", weight, weight/2, moved, owned)
 	}
 	// Half of each entry's upstreams move, less those it keeps as its domain's total
 	// weight falls too; odd weights are rounded down.
--- a/lib/shedder/shedder_test.go
+++ b/lib/shedder/shedder_test.go
@@ -27,29 +27,22 @@
 // flap between two thresholds, and against states without the setting.
 func TestStates(t *testing.T) {
 	m := &shedder.Monitor{Enabled: true}
-	now := feed(m, start, 5*time.Second, time.Millisecond)
-	now = now.Add(3 * time.Second)
+	now := feed(m, start, 5*time.Second, time.Millisecond).Add(3 * time.Second)
 	if m.Add(shedder.Sample{At: now, Lag: 3 * time.Second}) || m.State() != shedder.Normal {
 		t.Fatalf("%v after a pause", m.State())
 	}
+	const normal, busy, overloaded = shedder.Normal, shedder.Busy, shedder.Overloaded
 	for _, c := range []struct {
-		period, lag time.Duration
-		want        shedder.State
+		ms, lag time.Duration
+		want    shedder.State
 	}{
-		{5 * time.Second, time.Millisecond, shedder.Normal},
-		{500 * time.Millisecond, 60 * time.Millisecond, shedder.Normal},
-		{3 * time.Second, time.Millisecond, shedder.Normal},
-		{5 * time.Second, 12 * time.Millisecond, shedder.Normal},
-		{5 * time.Second, 20 * time.Millisecond, shedder.Busy},
-		{20 * time.Second, 10 * time.Millisecond, shedder.Busy},
-		{5 * time.Second, 60 * time.Millisecond, shedder.Overloaded},
-		{20 * time.Second, 25 * time.Millisecond, shedder.Overloaded},
-		{5 * time.Second, 10 * time.Millisecond, shedder.Busy},
-		{6 * time.Second, time.Millisecond, shedder.Normal},
+		{5000, 1, normal}, {500, 60, normal}, {3000, 1, normal}, {5000, 12, normal},
+		{5000, 20, busy}, {20000, 10, busy}, {5000, 60, overloaded}, {20000, 25, overloaded},
+		{5000, 10, busy}, {6000, 1, normal},
 	} {
-		now = feed(m, now, c.period, c.lag)
+		now = feed(m, now, c.ms*time.Millisecond, c.lag*time.Millisecond)
 		if m.State() != c.want {
-			t.Fatalf("%v after %v with a lag of %v (mean %v), want %v", m.State(), c.period, c.lag, m.Lag(), c.want)
+			t.Fatalf("%v after %d ms with a lag of %d ms (mean %v), want %v", m.State(), c.ms, c.lag, m.Lag(), c.want)
 		}
 	}
 	off := &shedder.Monitor{}
@@ -73,8 +66,8 @@
 	}
 	before, after := make([]divider.Member, 9), make([]divider.Member, 9)
 	for i := range before {
-		before[i] = divider.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%2), Weight: int(shedder.Weight(0.48, 0))}
-		after[i] = before[i]
+		m := divider.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%2), Weight: int(shedder.Weight(0.48, 0))}
+		before[i], after[i] = m, m
 		after[i].Weight = int(shedder.Weight(0.48, 0.11))
 	}
 	for u := range 1000 {
@@ -96,25 +89,19 @@
 		t.Errorf("weight %d while 4 of 5 peers are overloaded, want 16", w)
 	}
 	for _, c := range []struct {
-		period, lag time.Duration
-		want        uint32
+		seconds, lag time.Duration
+		want         uint32
 	}{
-		{time.Second, 100 * time.Millisecond, 4},
-		{time.Minute, 100 * time.Millisecond, 4},
-		{60 * time.Second, time.Millisecond, 4},
-		{10 * time.Second, time.Millisecond, 8},
-		{6 * time.Second, 100 * time.Millisecond, 4},
-		{2 * time.Minute, time.Millisecond, 4},
-		{10 * time.Second, time.Millisecond, 8},
-		{4 * time.Minute, time.Millisecond, 16},
+		{1, 100, 4}, {3, 1, 4}, {60, 100, 4}, {60, 1, 4}, {10, 1, 8},
+		{6, 100, 4}, {120, 1, 4}, {10, 1, 8}, {240, 1, 16},
 	} {
 		var w uint32
-		for end := now.Add(c.period); now.Before(end); {
-			now = feed(m, now, time.Second, c.lag)
+		for range c.seconds {
+			now = feed(m, now, time.Second, c.lag*time.Millisecond)
 			w = m.Weight(now, 16, 0, 5)
 		}
 		if w != c.want {
-			t.Errorf("weight %d after %v with a lag of %v, want %d", w, c.period, c.lag, c.want)
+			t.Errorf("weight %d after %d s with a lag of %d ms, want %d", w, c.seconds, c.lag, c.want)
 		}
 	}
 }
@@ -146,83 +133,87 @@
 	changes, refused int
 }
 
+// entry is a simulated entry.
+type entry struct {
+	shedder.Monitor
+	cpu, backlog float64 // in cores and core-seconds
+	changedAt    time.Time
+}
+
+// lag returns the seconds until the entry does what arrives now.
+func (e *entry) lag() float64 { return e.backlog / e.cpu }
+
 // play simulates two minutes of jobs of 8 tasks at six entries of 0.48 cores that own 90
-// upstreams; after 6 s the given number of entries gets half the CPU time. A job is in time if the
-// lags of its entry and of the owners of its upstreams leave it 96 ms of slack; callers
+// upstreams; after 6 s the given number of entries gets half the CPU time. A job is in time
+// if the lags of its entry and of its upstreams' owners are within 96 ms of slack; callers
 // leave after 1.5 s. A move stops an upstream for 20 ms and costs its owner 1 ms.
 func play(t *testing.T, seed uint64, slow int, enabled, heard bool) (out outcome) {
-	const entries, upstreams, tick = 6, 90, 10 * time.Millisecond
+	const upstreams, tick = 90, 10 * time.Millisecond
 	r := rand.New(rand.NewPCG(seed, 1))
-	var monitors [entries]shedder.Monitor
-	var cpu, backlog [entries]float64
-	var changedAt [entries]time.Time
+	var entries [6]entry
 	var owners [upstreams]int
 	var stoppedUntil [upstreams]time.Time
-	members := make([]divider.Member, entries)
+	members := make([]divider.Member, len(entries))
+	full := shedder.Weight(0.48, 0.06)
 	for i := range entries {
-		monitors[i].Enabled, cpu[i] = enabled, 0.48
-		members[i] = divider.Member{Name: fmt.Sprint(i), Domain: "d", Weight: int(shedder.Weight(0.48, 0.06))}
+		entries[i].Enabled, entries[i].cpu = enabled, 0.48
+		members[i] = divider.Member{Name: fmt.Sprint(i), Domain: "d", Weight: int(full)}
 	}
 	divide := func(now time.Time) {
 		for u := range owners {
 			name, _ := divider.Owner(fmt.Sprint("u", u), "d", members)
 			if o := int(name[0] - '0'); o != owners[u] {
 				owners[u], stoppedUntil[u] = o, now.Add(20*time.Millisecond)
-				backlog[o] += 0.001
+				entries[o].backlog += 0.001
 			}
 		}
 	}
 	divide(start)
-	lag := func(i int) float64 { return backlog[i] / cpu[i] }
 	jobs, inTime, next := 0, 0, start
 	for now := start; now.Before(start.Add(2 * time.Minute)); now = now.Add(tick) {
 		for ; next.Before(now); next = next.Add(time.Duration(r.ExpFloat64() / 200 * float64(time.Second))) {
-			first, tasks, worst := r.IntN(entries), [8]int{}, 0.0
+			first, tasks, worst := &entries[r.IntN(len(entries))], [8]int{}, 0.0
 			for k := range tasks {
 				u := r.IntN(upstreams)
 				tasks[k] = owners[u]
-				worst = max(worst, lag(owners[u]), stoppedUntil[u].Sub(now).Seconds())
+				worst = max(worst, entries[owners[u]].lag(), stoppedUntil[u].Sub(now).Seconds())
 			}
 			jobs++
-			if worst += lag(first); worst <= 0.096 {
+			if worst += first.lag(); worst <= 0.096 {
 				inTime++
 			}
-			backlog[first] += 0.0018
+			first.backlog += 0.0018
 			for _, o := range tasks {
 				if worst < 1.5 {
-					backlog[o] += 0.00075
+					entries[o].backlog += 0.00075
 				}
 			}
 		}
 		passed, short := now.Sub(start), 0
-		for i := range monitors {
+		for i := range entries {
+			e := &entries[i]
 			if i < slow && passed == 6*time.Second {
-				cpu[i] = 0.24
+				e.cpu = 0.24
 			}
-			backlog[i] = max(0, backlog[i]-cpu[i]*tick.Seconds())
+			e.backlog = max(0, e.backlog-e.cpu*tick.Seconds())
 			if passed%shedder.SampleInterval == 0 {
-				monitors[i].Add(shedder.Sample{At: now, Lag: time.Duration(lag(i) * float64(time.Second))})
-			}
-			if monitors[i].State() == shedder.Overloaded {
-				short++
+				e.Add(shedder.Sample{At: now, Lag: time.Duration(e.lag() * float64(time.Second))})
 			}
+			short += int(e.State()) / int(shedder.Overloaded)
 		}
-		for i := range monitors {
-			m, overloaded, peers := &monitors[i], 0, 0
+		for i := range entries {
+			e, overloaded, peers := &entries[i], 0, 0
 			if heard {
-				overloaded, peers = short, entries-1
-				if m.State() == shedder.Overloaded {
-					overloaded--
-				}
+				overloaded, peers = short-int(e.State())/int(shedder.Overloaded), len(entries)-1
 			}
-			if passed%(100*time.Millisecond) == 0 && !m.Ready(now, overloaded, peers) {
+			if passed%(100*time.Millisecond) == 0 && !e.Ready(now, overloaded, peers) {
 				out.refused++
 			}
-			if w := int(m.Weight(now, shedder.Weight(0.48, 0.06), overloaded, peers)); w != members[i].Weight {
-				if now.Sub(changedAt[i]) < 5*time.Second {
-					t.Fatalf("two changes of entry %d within %v", i, now.Sub(changedAt[i]))
+			if w := int(e.Weight(now, full, overloaded, peers)); w != members[i].Weight {
+				if now.Sub(e.changedAt) < 5*time.Second {
+					t.Fatalf("two changes of entry %d within %v", i, now.Sub(e.changedAt))
 				}
-				members[i].Weight, changedAt[i] = w, now
+				members[i].Weight, e.changedAt = w, now
 				out.changes++
 				divide(now)
 			}
--- a/lib/shedder/weight.go
+++ b/lib/shedder/weight.go
@@ -73,6 +73,7 @@
 	o := &m.ownership
 	if o.weight == 0 {
 		o.full, o.weight = full, max(1, full)
+		// Lag of the start itself should move nothing.
 		o.changeAt = now.Add(weightInterval)
 	}
 	wanted := [...]int{Normal: 0, Busy: steps - busySteps, Overloaded: steps - overloadedSteps}[m.State()]
