--- a/lib/shedder/shedder_test.go
+++ b/lib/shedder/shedder_test.go
@@ -36,9 +36,16 @@
 		ms, lag time.Duration
 		want    shedder.State
 	}{
-		{5000, 1, normal}, {500, 60, normal}, {3000, 1, normal}, {5000, 12, normal},
-		{5000, 20, busy}, {20000, 10, busy}, {5000, 60, overloaded}, {20000, 25, overloaded},
-		{5000, 10, busy}, {6000, 1, normal},
+		{5000, 1, normal},
+		{500, 60, normal},
+		{3000, 1, normal},
+		{5000, 12, normal},
+		{5000, 20, busy},
+		{20000, 10, busy},
+		{5000, 60, overloaded},
+		{20000, 25, overloaded},
+		{5000, 10, busy},
+		{6000, 1, normal},
 	} {
 		now = feed(m, now, c.ms*time.Millisecond, c.lag*time.Millisecond)
 		if m.State() != c.want {
@@ -92,8 +99,15 @@
 		seconds, lag time.Duration
 		want         uint32
 	}{
-		{1, 100, 4}, {3, 1, 4}, {60, 100, 4}, {60, 1, 4}, {10, 1, 8},
-		{6, 100, 4}, {120, 1, 4}, {10, 1, 8}, {240, 1, 16},
+		{1, 100, 4},
+		{3, 1, 4},
+		{60, 100, 4},
+		{60, 1, 4},
+		{10, 1, 8},
+		{6, 100, 4},
+		{120, 1, 4},
+		{10, 1, 8},
+		{240, 1, 16},
 	} {
 		var w uint32
 		for range c.seconds {
--- a/lib/shedder/weight.go
+++ b/lib/shedder/weight.go
@@ -32,7 +32,7 @@
 	// taken back. An entry that is well again rises after at most 4 min.
 	maxFailedRaises = 2
 	// sizeChange is the relative change of the full weight that is worth moving
-	// upstreams for. Measured work of callers varies by less without a cause.
+	// upstreams for. Smaller ones are within the scatter of the division by hash.
 	sizeChange = 0.25
 )
 
