--- a/lib/divider/divider_test.go
+++ b/lib/divider/divider_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"radishweir.org/lib/divider"
@@ -55,3 +56,48 @@
 		t.Errorf("the member with 0.75 of the weight owns a share of %.2f, want 0.7 to 0.8", share)
 	}
 }
+
+// Guards against a change of one weight that moves upstreams of other entries, or more of
+// its own than the change is worth.
+func TestHalvedWeight(t *testing.T) {
+	var list []divider.Member
+	for i := range 33 {
+		cores := 0.8
+		if i >= 6 {
+			cores = 0.144 + (0.48-0.144)*float64(i-6)/26
+		}
+		list = append(list, divider.Member{Name: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%4), Weight: int(math.Round(cores * 20))})
+	}
+	const upstreams = 350
+	owner := func(u int) string {
+		name, _ := divider.Owner(fmt.Sprint("u", u), fmt.Sprint("d", u%4), list)
+		return name
+	}
+	total := 0
+	for i := range list {
+		m, weight, owned, moved := &list[i], list[i].Weight, 0, 0
+		for u := range upstreams {
+			m.Weight = weight
+			before := owner(u)
+			m.Weight = weight / 2
+			after := owner(u)
+			if before == m.Name {
+				owned++
+			}
+			if after != before {
+				moved++
+			}
+			if after != before && before != m.Name {
+				t.Errorf("u%d moved from %s although only %s has less weight", u, before, m.Name)
+			}
+		}
+		m.Weight = weight
+		total += moved
+		t.Logf("weight %d to %d: %d of %d upstreams moved", weight, weight/2, moved, owned)
+	}
+	// Half of each entry's upstreams move, less those it keeps as its domain's total
+	// weight falls too; odd weights are rounded down.
+	if total < upstreams*35/100 || total > upstreams*55/100 {
+		t.Errorf("%d moves over all entries for %d upstreams", total, upstreams)
+	}
+}
