--- a/lib/separator/fleet_test.go
+++ b/lib/separator/fleet_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"radishweir.org/lib/packer"
@@ -30,11 +29,13 @@
 // fleet is a simulated fleet. Each of its entries owns an equal part of the upstreams
 // and learns from their runs.
 type fleet struct {
-	random    *rand.Rand
-	upstreams []*upstream
-	entries   []*separator.Separator
-	// off is true if placement ignores Factor; merged if entries exchange samples.
-	off, merged bool
+	// arrivals draws the jobs, so that they are the same whatever the placement.
+	arrivals, random *rand.Rand
+	upstreams        []*upstream
+	entries          []*separator.Separator
+	// off is true if placement ignores Factor, merged if entries exchange samples, blind
+	// if the separator does not learn the slowness of upstreams.
+	off, merged, blind bool
 	// load multiplies the rates; slowed is by how much a and b slow each other.
 	load   func(at time.Duration) float64
 	slowed float64
@@ -43,8 +44,8 @@
 	now     time.Time
 	waiting []*job
 	jobs    int
-	// found is when a pair was first found.
-	found map[[2]string]time.Duration
+	// found is when an entry first found a pair.
+	found []map[[2]string]time.Duration
 	// slowdowns are run times over those on the upstream without other kinds, by kind.
 	slowdowns map[string][]float64
 	waits     []float64
@@ -53,19 +54,21 @@
 }
 
 type upstream struct {
-	name             string
-	cpu, free        int64
-	speed, slowness  float64
-	slowFrom, slowTo time.Time
-	tracker          separator.Tracker
-	runs             []*run
-	entry            int
+	name            string
+	cpu, free       int64
+	speed, slowness float64
+	slowTo          time.Time
+	tracker         separator.Tracker
+	runs            []*run
+	entry           int
 }
 
 type job struct {
-	name    string
-	queue   queue
-	factor  float64
+	name   string
+	queue  queue
+	factor float64
+	// work holds the run times of the tasks on an average upstream.
+	work    []float64
 	arrived time.Time
 	open    int
 }
@@ -80,11 +83,12 @@
 
 func newFleet(seed uint64, upstreams, entries int, slowed float64) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), slowed: slowed, found: map[[2]string]time.Duration{}, slowdowns: map[string][]float64{},
+		arrivals: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)), slowed: slowed, slowdowns: map[string][]float64{},
 		load: func(time.Duration) float64 { return 1 }, now: time.Unix(0, 0), uneven: 1,
 	}
 	for range entries {
 		f.entries = append(f.entries, &separator.Separator{})
+		f.found = append(f.found, map[[2]string]time.Duration{})
 	}
 	for i := range upstreams {
 		cpu := int64(64000)
@@ -103,9 +107,8 @@
 	for at := time.Duration(0); at < d; at += step {
 		f.now = f.now.Add(step)
 		for _, q := range queues {
-			for p := q.rate * f.load(at) * float64(len(f.upstreams)) * step.Seconds(); f.random.Float64() < p; p-- {
-				f.jobs++
-				f.waiting = append(f.waiting, &job{fmt.Sprint("j", f.jobs), q, math.Exp(0.4 * f.random.NormFloat64()), f.now, q.tasks})
+			for p := q.rate * f.load(at) * float64(len(f.upstreams)) * step.Seconds(); f.arrivals.Float64() < p; p-- {
+				f.waiting = append(f.waiting, f.newJob(q))
 			}
 		}
 		for len(f.waiting) > 0 && f.place(f.waiting[0]) {
@@ -117,16 +120,39 @@
 		if at%time.Second == 0 {
 			f.exchange()
 		}
-		for i, s := range f.entries {
-			for _, p := range s.Pairs(f.now) {
-				if _, ok := f.found[[2]string{p.Kind, p.Beside}]; p.Interferes && !ok && i >= 0 {
-					f.found[[2]string{p.Kind, p.Beside}] = f.now.Sub(time.Unix(0, 0))
-				}
+		if at%(200*time.Millisecond) == 0 {
+			f.look()
+		}
+	}
+}
+
+// look records the pairs that an entry has found.
+func (f *fleet) look() {
+	for i, s := range f.entries {
+		for _, p := range s.Pairs(f.now) {
+			key := [2]string{p.Kind, p.Beside}
+			if _, ok := f.found[i][key]; p.Interferes && !ok {
+				f.found[i][key] = f.now.Sub(time.Unix(0, 0))
 			}
 		}
 	}
 }
 
+// newJob returns a job whose tasks take 40% more or less than declared, alike, and of
+// which 3% take 7 times as long.
+func (f *fleet) newJob(q queue) *job {
+	f.jobs++
+	j := &job{name: fmt.Sprint("j", f.jobs), queue: q, factor: math.Exp(0.4 * f.arrivals.NormFloat64()), arrived: f.now, open: q.tasks}
+	for range q.tasks {
+		w := q.takes.Seconds() * j.factor * math.Exp(0.15*f.arrivals.NormFloat64())
+		if f.arrivals.Float64() < 0.03 {
+			w *= 7
+		}
+		j.work = append(j.work, w)
+	}
+	return j
+}
+
 // exchange passes on what entries have measured.
 func (f *fleet) exchange() {
 	if !f.merged {
@@ -165,11 +191,7 @@
 	f.waits = append(f.waits, f.now.Sub(j.arrived).Seconds())
 	for i, name := range chosen {
 		u := byName[name]
-		work := j.queue.takes.Seconds() * j.factor * math.Exp(0.15*f.random.NormFloat64())
-		if f.random.Float64() < 0.03 {
-			work *= 7
-		}
-		r := &run{fmt.Sprint(j.name, ".", i), j, work, work, f.now}
+		r := &run{fmt.Sprint(j.name, ".", i), j, j.work[i], j.work[i], f.now}
 		u.free -= perTask
 		u.tracker.Start(r.name, j.queue.kind, f.now)
 		u.runs = append(u.runs, r)
@@ -180,7 +202,7 @@
 // advance lets the runs on an upstream proceed.
 func (f *fleet) advance(u *upstream) {
 	if f.uneven > 1 && f.random.Float64() < step.Seconds()/30 {
-		u.slowFrom, u.slowTo = f.now, f.now.Add(5*time.Second)
+		u.slowTo = f.now.Add(5 * time.Second)
 	}
 	speed := u.speed
 	if f.now.Before(u.slowTo) {
@@ -213,7 +235,11 @@
 	beside := u.tracker.End(r.name, f.now)
 	took := f.now.Sub(r.started).Seconds()
 	ratio := took / j.queue.takes.Seconds()
-	s.Observe(f.now, separator.Run{Kind: j.queue.kind, Ratio: ratio / u.slowness, Beside: beside, Job: j.name, Upstream: u.name})
+	e := separator.Run{Kind: j.queue.kind, Ratio: ratio / u.slowness, Beside: beside, Job: j.name, Upstream: u.name}
+	if !f.blind {
+		e.Slowness = u.slowness
+	}
+	s.Observe(f.now, e)
 	if !f.off {
 		ratio /= s.Slowdown(j.queue.kind, beside)
 	}
@@ -235,7 +261,5 @@
 	return sum / float64(max(len(list), 1))
 }
 
-func quantile(list []float64, q float64) float64 {
-	list = slices.Sorted(slices.Values(list))
-	return list[int(q*float64(len(list)-1))]
-}
+// share returns the share of jobs that ended in time.
+func (f *fleet) share() float64 { return float64(f.inTime) / float64(f.ended) }
--- a/lib/separator/separator.go
+++ b/lib/separator/separator.go
@@ -9,7 +9,9 @@
 // For each kind, a regression over its runs explains the logarithm of the ratio of
 // actual to expected run time by the shares of the run's time that other kinds ran
 // beside it. Both are taken relative to the kind's recent means, so neither a wrong
-// declared run time nor a load that changes over time counts as interference. What
+// declared run time nor a load that changes over time counts as interference. A
+// further variable is the deviation of the upstream's slowness from its mean, since
+// an error of the slowness changes both the ratio and what runs on the upstream. What
 // the regression attributes to one pair is summed up by pair, with its variance.
 // Runs of one job and runs that end on one upstream within a few seconds are not
 // independent, so they count as fewer runs.
@@ -22,14 +24,17 @@
 //
 //	s := &separator.Separator{}
 //	ratio := took / (expected * slowness) // slowness as used for the run's placement
-//	s.Observe(now, separator.Run{Kind: kind, Ratio: ratio, Beside: beside, Job: job, Upstream: upstream})
+//	s.Observe(now, separator.Run{
+//		Kind: kind, Ratio: ratio, Beside: beside, Slowness: slowness, Job: job, Upstream: upstream,
+//	})
 //	slowness.update(took / expected / s.Slowdown(kind, beside))
 //
 //	candidate.Slowness *= s.Factor(kind, kindsOnUpstream)
 //
-// Each frame to a peer carries ToWire(s.Drain()), and Merge takes FromWire of what a
-// peer sent. Only the order of candidates may depend on Factor, not whether an
-// upstream is one. Factor and Slowdown may be called at any time; the other methods
+// Once a second the next frame to each peer carries ToWire(s.Drain()), the same to all,
+// and Merge takes FromWire of what a peer sent. Only the order of candidates may depend on Factor, not whether an
+// upstream is one. Runs that started under another owner of the upstream are left out.
+// Factor and Slowdown may be called at any time; the other methods
 // of one Separator must not run at the same time.
 //
 // The integration counts placements that Factor changed, runs that end beside a kind
@@ -54,6 +59,12 @@
 	// groupInterval is the time within which runs that end on one upstream count as
 	// dependent: a change of its speed is measured after about 20 runs, some 2 s.
 	groupInterval = 5 * time.Second
+	// speedHalfLife is the half-life of an upstream's mean slowness, with which the
+	// slowness of each run is compared.
+	speedHalfLife = 30 * time.Second
+	// slownessSpread is the usual error of the logarithm of a measured slowness, with
+	// declared run times off by 40% a job and some 20 runs in the mean.
+	slownessSpread = 0.1
 	// minExcess is the slowdown from which callers profit from separation; less is
 	// within the spread of run times within one job.
 	minExcess = 0.10
@@ -92,6 +103,11 @@
 	solveInterval = 16
 	// maxKinds bounds memory and time, and the frames to peers, to maxKinds² pairs.
 	maxKinds = 32
+	// columns is the number of variables of a regression: the slowness and the kinds.
+	columns = maxKinds + 1
+	// maxUpstreams bounds the upstreams whose mean slowness is known; an entry owns
+	// fewer than 100.
+	maxUpstreams = 1024
 	// maxGroups bounds the memory for dependent runs; 100 runs/s of 32 kinds need
 	// 32,000.
 	maxGroups = 1 << 15
@@ -107,6 +123,9 @@
 	// Beside holds, by kind, the share of the run's time in which at least one run of
 	// this kind ran on the same upstream.
 	Beside map[string]float64
+	// Slowness is the slowness of the upstream that the expected run time contains, 0 if
+	// it is not known.
+	Slowness float64
 	// Job and Upstream name the job and the upstream of the run. Runs without one
 	// count as independent.
 	Job, Upstream string
@@ -166,16 +185,26 @@
 	// at is when the sums below were last decayed.
 	at time.Time
 	// samples counts the runs in the means.
-	samples   float64
-	meanLog   float64
-	meanShare [maxKinds]float64
+	samples float64
+	meanLog float64
+	mean    variables
 	// products and target are the normal equations, inverse and effect their solution
 	// at the last solve.
-	products, inverse [maxKinds][maxKinds]float64
-	target, effect    [maxKinds]float64
+	products, inverse [columns]variables
+	target, effect    variables
 	unsolved          int
 }
 
+// variables holds a value for each variable of a regression: first the slowness of the
+// upstream relative to its mean, then the share of each kind.
+type variables [columns]float64
+
+// speed is the mean logarithm of an upstream's slowness.
+type speed struct {
+	samples, mean float64
+	at            time.Time
+}
+
 // group identifies dependent runs of a pair.
 type group struct {
 	kind, beside int
@@ -189,6 +218,7 @@
 	pairs    [maxKinds][maxKinds]pair
 	groups   map[group]float64
 	groupsAt time.Time
+	speeds   map[string]*speed
 	table    atomic.Pointer[table]
 }
 
@@ -229,9 +259,9 @@
 func (s *Separator) forget(i int) {
 	for j, k := range s.kinds {
 		s.pairs[i][j], s.pairs[j][i] = pair{}, pair{}
-		k.meanShare[i], k.target[i], k.effect[i] = 0, 0, 0
+		k.mean[i+1], k.target[i+1], k.effect[i+1] = 0, 0, 0
 		for l := range k.products {
-			k.products[i][l], k.products[l][i] = 0, 0
+			k.products[i+1][l], k.products[l][i+1] = 0, 0
 		}
 		k.unsolved = solveInterval
 	}
@@ -248,25 +278,26 @@
 	if i < 0 {
 		return
 	}
-	var share [maxKinds]float64
+	var x variables
 	for name, v := range r.Beside {
 		if name == "" || !(v > 0) {
 			continue
 		}
 		if j := s.index(now, name); j >= 0 {
-			share[j] = min(v, 1)
+			x[j+1] = min(v, 1)
 		}
 	}
 	if s.groups == nil || now.Sub(s.groupsAt) >= groupInterval || len(s.groups) >= maxGroups {
 		s.groups, s.groupsAt = make(map[group]float64, len(s.groups)), now
 	}
-	k, n := s.kinds[i], len(s.kinds)
-	residual, ok := k.observe(now, min(max(math.Log(r.Ratio), -maxLog), maxLog), &share, n)
+	x[0] = s.deviation(now, r.Upstream, r.Slowness)
+	k, n := s.kinds[i], len(s.kinds)+1
+	residual, ok := k.observe(now, min(max(math.Log(r.Ratio), -maxLog), maxLog), &x, n)
 	if !ok {
 		return
 	}
-	for j := range n {
-		s.observePair(now, i, j, k, &share, residual, r)
+	for j := range s.kinds {
+		s.observePair(now, i, j, &x, residual, r)
 	}
 	if k.unsolved++; k.unsolved >= solveInterval {
 		k.unsolved = 0
@@ -275,24 +306,47 @@
 	}
 }
 
-// observe adds a run to the kind's means and normal equations. It replaces the shares
-// by their deviations from the means and returns what the kinds beside the run do not
-// explain of the logarithm of its ratio.
-func (k *kind) observe(now time.Time, log float64, share *[maxKinds]float64, n int) (residual float64, ok bool) {
+// deviation returns by how many usual errors the slowness of an upstream exceeds its
+// mean. Placement prefers upstreams whose slowness is measured too low: runs there
+// exceed what is expected, and have more kinds beside them. With the deviation among
+// the variables, this is not attributed to these kinds.
+func (s *Separator) deviation(now time.Time, upstream string, slowness float64) float64 {
+	if upstream == "" || !(slowness > 0) || math.IsInf(slowness, 0) {
+		return 0
+	}
+	u := s.speeds[upstream]
+	if u == nil {
+		if s.speeds == nil || len(s.speeds) >= maxUpstreams {
+			s.speeds = make(map[string]*speed)
+		}
+		u = &speed{at: now}
+		s.speeds[upstream] = u
+	}
+	log := min(max(math.Log(slowness), -maxLog), maxLog)
+	w := max(1/(u.samples+1), 1-decay(now.Sub(u.at), speedHalfLife))
+	u.samples++
+	u.at = now
+	u.mean += w * (log - u.mean)
+	return (log - u.mean) / slownessSpread
+}
+
+// observe adds a run to the kind's means and normal equations. It replaces the
+// variables by their deviations from the means and returns what they do not explain of
+// the logarithm of the run's ratio.
+func (k *kind) observe(now time.Time, log float64, x *variables, n int) (residual float64, ok bool) {
 	passed := max(now.Sub(k.at), 0)
 	k.at = now
 	f := decay(passed, halfLife)
 	w := max(1/(k.samples+1), 1-decay(passed, baselineHalfLife))
 	k.samples++
-	first := k.samples == 1
 	fit := 0.0
 	for j := range n {
-		d := share[j] - k.meanShare[j]
-		k.meanShare[j] += w * d
-		share[j] = d
+		d := x[j] - k.mean[j]
+		k.mean[j] += w * d
+		x[j] = d
 		fit += k.effect[j] * d
 	}
-	if first {
+	if k.samples == 1 {
 		k.meanLog = log
 		return 0, false
 	}
@@ -300,9 +354,9 @@
 	k.meanLog += w * (fit + residual)
 	for j := range n {
 		for l := range n {
-			k.products[j][l] = f*k.products[j][l] + share[j]*share[l]
+			k.products[j][l] = f*k.products[j][l] + x[j]*x[l]
 		}
-		k.target[j] = f*k.target[j] + share[j]*(fit+residual)
+		k.target[j] = f*k.target[j] + x[j]*(fit+residual)
 	}
 	return residual, true
 }
@@ -310,12 +364,12 @@
 // solve solves the normal equations. They are symmetric and positive definite, so
 // elimination needs no pivot search.
 func (k *kind) solve(n int) {
-	var a [maxKinds][maxKinds]float64
+	var a [columns]variables
 	inv := &k.inverse
 	for i := range n {
 		a[i] = k.products[i]
 		a[i][i] += priorRuns
-		inv[i] = [maxKinds]float64{}
+		inv[i] = variables{}
 		inv[i][i] = 1
 	}
 	for i := range n {
@@ -344,19 +398,20 @@
 }
 
 // observePair adds a run of kind i to its pair with kind j. The run counts by the
-// part of its share beside j that the other kinds beside it do not explain.
-func (s *Separator) observePair(now time.Time, i, j int, k *kind, share *[maxKinds]float64, residual float64, r Run) {
-	own := 0.0
-	for l := range s.kinds {
-		own += k.inverse[j][l] * share[l]
-	}
-	own /= k.inverse[j][j]
+// part of its share beside j that the other variables do not explain.
+func (s *Separator) observePair(now time.Time, i, j int, x *variables, residual float64, r Run) {
+	k, own := s.kinds[i], 0.0
+	inverse := &k.inverse[j+1]
+	for l := range len(s.kinds) + 1 {
+		own += inverse[l] * x[l]
+	}
+	own /= inverse[j+1]
 	if own == 0 {
 		return
 	}
 	p := &s.pairs[i][j]
 	p.decay(now)
-	w, v, effect := own*own, own*residual, k.effect[j]
+	w, v, effect := own*own, own*residual, k.effect[j+1]
 	one := sums{runs: w, sum: w*effect + v, rest: v * v}
 	p.own.add(one, 1)
 	p.unsent.add(one, 1)
