Leave capacity free by the share of rejected starts, and start on own upstreams first

At full load entries place tasks independently: each place that comes free is announced to all near entries, and all but one of their requests are rejected.

Change: lib/throttler derives from the share of rejections how much of the near capacity new jobs leave free, except the most urgent ones where a service's queues differ in priority. While capacity is short, PackTight takes the entry's own upstreams first, then by what stays unused, and equal ones in an order of each entry's own. Off by default (congestion_control, tight_packing). The coordinator's side of delegation comes along, switched off.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -29,7 +29,9 @@
 
 	"github.com/rs/zerolog"
 
+	"radishweir.org/lib/delegator"
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/throttler"
 	"radishweir.org/lib/wire"
 )
 
@@ -84,8 +86,16 @@
 	// Evacuated reports whether no run may start on the upstreams of a failure domain.
 	// It is called with locks held and must be fast; nil means that none is evacuated.
 	Evacuated func(domain string) bool
-	// Delegator hands jobs to other entries; nil if all jobs run here.
-	Delegator Delegator
+	// Throttle decides how much capacity is left free for jobs that have begun and for
+	// the most urgent ones.
+	Throttle throttler.Throttler
+	// TightPacking chooses upstreams by the capacity that stays unused while capacity is
+	// short.
+	TightPacking bool
+	// Delegation decides which jobs are handed to other entries. EncodeDelegation builds
+	// the message that does so.
+	Delegation       delegator.Policy
+	EncodeDelegation func(j Job, number uint64, now time.Time) (*wire.DelegatedJob, error)
 	// Keeper stores the progress of kept jobs; nil if there are none.
 	Keeper Keeper
 	// Log receives events.
@@ -134,10 +144,11 @@
 	// second: what it started recently, or its share of the fleet if that is
 	// more.
 	startRate float64
-	// lastDelegation is the number of the last delegation of a job.
-	lastDelegation uint64
-	// shortAt is the last time at which a waiting job found no capacity.
-	shortAt time.Time
+	delegationState
+	// short is true while waiting jobs find no capacity, sizes holds the needs of recent
+	// tasks.
+	short bool
+	sizes packer.Sizes
 	// outbox holds the messages to send, in order; sending is true while a call of
 	// sendQueued sends them.
 	outbox  []message
@@ -222,6 +233,11 @@
 			c.mu.Unlock()
 			return earlier.answer
 		}
+		if c.ledger.At(in.ID, time.Now()) {
+			// An earlier attempt may still run at the entry that it was handed to.
+			c.mu.Unlock()
+			return Answer{State: Expired, Reason: "an earlier attempt may still run"}
+		}
 		j = newJob(in, earlier.lastRun)
 		c.updateFit(j)
 		if !j.fitsUpstreams() {
@@ -251,6 +267,7 @@
 		k = &kindStats{lastArrival: j.Arrived, served: 1}
 		c.kinds[j.Kind] = k
 	}
+	k.service, k.priority = j.Service, j.Priority
 	s := workOf(&j.Job)
 	k.countArrival(j.Arrived, s)
 	j.value = k.value(s)
@@ -300,7 +317,7 @@
 	c.removeWaiting(j)
 	var out []message
 	if j.delegate != "" {
-		out = append(out, c.endDelegation(j))
+		out = append(out, c.cancelDelegation(j)...)
 	}
 	for _, t := range j.tasks {
 		if t.placed {
--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -1,87 +1,160 @@
 package coordinator
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"radishweir.org/lib/delegator"
 	"radishweir.org/lib/wire"
 )
 
-const (
-	// maxDelegations is the number of peers that may refuse a job before its caller is
-	// told to come back. Each refusal costs the job a round trip.
-	maxDelegations = 2
-	// shortageMemory is how long an entry that could not start a job counts as short of
-	// capacity; a few times the interval at which it tells others its load.
-	shortageMemory = 250 * time.Millisecond
-)
+// shortageMemory is how long an entry that could not start a job counts as short of
+// capacity; a few times the interval at which it tells near entries its load.
+const shortageMemory = 250 * time.Millisecond
 
-// Delegator decides which jobs are handed to another entry, and hands them over. Its
-// methods are called with the coordinator's lock held, so they must not call the
-// coordinator before they return.
-type Delegator interface {
-	// Lagging reports whether this entry is so short of CPU time that jobs should start
-	// elsewhere even if there is capacity.
-	Lagging() bool
-	// Choose returns the peer that should run a job that has not begun; empty to keep
-	// it. The job must start within slack to be in time, and is expected to wait for
-	// the given time here. The peers in tried refused it.
-	Choose(now time.Time, slack, wait time.Duration, tried []string) string
-	// Message returns the message that hands the job to a peer.
-	Message(j *Job, number uint64, now time.Time) func(f *wire.PeerFrame)
-	// Closed reports that no answer of a peer to a delegated job is awaited any more.
-	Closed(peer string)
+// delegationState is what the coordinator knows of delegated jobs and of the entries
+// that may take some.
+type delegationState struct {
+	ledger delegator.Ledger
+	// domains holds the failure domain of each registered peer, loads the last load that
+	// each peer told, and lag the time by which the timers of this entry fire late.
+	domains map[string]string
+	loads   map[string]delegator.Load
+	lag     time.Duration
+	// shortAt is the last time at which a waiting job found no capacity.
+	shortAt time.Time
+	// delegateList are the peers that may take jobs as of delegateListAt, the time of a pass.
+	delegateList   []delegator.Peer
+	delegateListAt time.Time
 }
 
-// delegation is the state of a job at another entry.
+// delegation is the state of a job that may be at another entry.
 type delegation struct {
 	// delegate is the entry that runs the job, empty while this entry does.
 	delegate string
-	// delegateNumber identifies the hand-over.
-	delegateNumber uint64
 	// refusedBy are the peers that refused the job.
 	refusedBy []string
 }
 
+// SetDomains sets the failure domain of each registered peer.
+func (c *Coordinator) SetDomains(domains map[string]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.domains = domains
+}
+
+// SetLag sets the time by which the timers of this entry fire late.
+func (c *Coordinator) SetLag(lag time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lag = lag
+}
+
+// PeerLoad records the load that a peer told.
+func (c *Coordinator) PeerLoad(peer string, l delegator.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		c.loads = make(map[string]delegator.Load)
+	}
+	c.loads[peer] = l
+}
+
+// Load returns the load of this entry for its peers. It takes no jobs while it drains.
+func (c *Coordinator) Load(now time.Time, draining bool) delegator.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := delegator.Load{Lag: c.lag, At: now}
+	if since := now.Sub(c.shortAt); since < shortageMemory {
+		l.Wait = shortageMemory - since
+	}
+	if len(c.waiting) > 0 {
+		l.Wait = max(l.Wait, c.backlog())
+	}
+	l.Accepts = !draining && c.Delegation.Accepts(l, now)
+	return l
+}
+
 // delegable reports whether a job may be handed to another entry: it is not kept, did
 // not come from another entry, and no run of it was requested here.
 func (j *job) delegable() bool {
-	return !j.kept() && !j.Delegated && !j.started && j.firstPlacedAt.IsZero() && len(j.refusedBy) < maxDelegations
+	return !j.kept() && !j.Delegated && !j.started && j.firstPlacedAt.IsZero()
 }
 
-// delegate hands a waiting job to a peer if that is better for its caller. The caller
-// holds the lock.
+// delegate hands a waiting job to a peer if it is expected to be late here and in time
+// there. The caller holds the lock.
 func (c *Coordinator) delegate(j *job, slack, wait time.Duration, now time.Time) (message, bool) {
-	if c.Delegator == nil || !j.delegable() {
+	if !c.Delegation.Enabled || !j.delegable() {
 		return message{}, false
 	}
-	peer := c.Delegator.Choose(now, slack, wait, j.refusedBy)
+	self := delegator.Load{Lag: c.lag, Wait: wait, At: now}
+	d := delegator.Job{Slack: slack, Tried: j.refusedBy}
+	peer, reason := c.Delegation.Choose(now, d, self, c.delegates(now), rand.IntN)
 	if peer == "" {
 		return message{}, false
 	}
-	c.lastDelegation++
-	j.delegate, j.delegateNumber = peer, c.lastDelegation
+	number, ok := c.ledger.Add(peer, j.ID, now)
+	if !ok {
+		return message{}, false
+	}
+	add, err := c.EncodeDelegation(j.Job, number, now)
+	if err != nil {
+		c.ledger.Answer(peer, number, j.ID)
+		c.Log.Warn().Str("job", j.ID).Err(err).Msg("job_not_delegable")
+		return message{}, false
+	}
+	j.delegate = peer
 	c.removeWaiting(j)
-	c.countDelegation("sent")
-	return message{owner: peer, add: c.Delegator.Message(&j.Job, j.delegateNumber, now)}, true
+	c.countOpen(peer, 1)
+	c.countDelegation("sent_for_" + reason.String())
+	return message{owner: peer, add: func(f *wire.PeerFrame) { f.Delegated = append(f.Delegated, add) }}, true
+}
+
+// delegates returns the peers that may take jobs, collected once in a pass; the caller
+// holds the lock.
+func (c *Coordinator) delegates(now time.Time) []delegator.Peer {
+	if c.delegateListAt.Equal(now) {
+		return c.delegateList
+	}
+	c.delegateList, c.delegateListAt = c.delegateList[:0], now
+	for name, l := range c.peers {
+		if l.up && c.loads[name].Accepts {
+			c.delegateList = append(c.delegateList, delegator.Peer{
+				Name: name, Domain: c.domains[name], Near: c.near[name], Up: true, Load: c.loads[name], Open: c.ledger.Open(name),
+			})
+		}
+	}
+	return c.delegateList
+}
+
+// countOpen counts a job that was sent to a peer in this pass.
+func (c *Coordinator) countOpen(peer string, n int) {
+	for i := range c.delegateList {
+		if c.delegateList[i].Name == peer {
+			c.delegateList[i].Open += n
+		}
+	}
 }
 
-// endDelegation ends the wait for the answer of a job's delegate and returns the
-// message that cancels the job there; the caller holds the lock.
-func (c *Coordinator) endDelegation(j *job) message {
-	cancel := &wire.DelegatedCancel{Job: j.ID, Number: j.delegateNumber}
-	m := message{owner: j.delegate, add: func(f *wire.PeerFrame) { f.DelegatedCancels = append(f.DelegatedCancels, cancel) }}
-	c.Delegator.Closed(j.delegate)
+// cancelDelegation returns the message that tells the delegate of a job that nobody
+// waits for it; the caller holds the lock.
+func (c *Coordinator) cancelDelegation(j *job) []message {
+	d, ok := c.ledger.Cancel(j.ID)
 	j.delegate = ""
-	return m
+	if !ok {
+		return nil
+	}
+	cancel := &wire.DelegatedCancel{Job: j.ID, Number: d.Number}
+	return []message{{owner: d.Peer, add: func(f *wire.PeerFrame) { f.DelegatedCancels = append(f.DelegatedCancels, cancel) }}}
 }
 
-// DelegateAnswered handles a peer's answer to a delegated job. Answers to earlier
-// delegations of the job, and to jobs that are closed, are ignored.
+// DelegateAnswered handles a peer's answer to a delegated job. Answers of jobs that are
+// closed or were given up are ignored.
 func (c *Coordinator) DelegateAnswered(peer, id string, number uint64, a Answer) {
 	c.mu.Lock()
 	var out []message
-	if j := c.jobs[id]; j != nil && j.delegate == peer && j.delegateNumber == number {
-		c.Delegator.Closed(peer)
+	d, ok := c.ledger.Answer(peer, number, id)
+	if j := c.jobs[id]; ok && !d.Cancelled && j != nil && j.delegate == peer {
 		j.delegate = ""
 		switch a.State {
 		case Refused:
@@ -108,9 +181,9 @@
 // caller holds the lock.
 func (c *Coordinator) endDelegationsTo(peer string) []message {
 	var out []message
-	for _, j := range c.jobs {
-		if j.delegate == peer {
-			c.Delegator.Closed(peer)
+	now := time.Now()
+	for _, d := range c.ledger.PeerDown(peer, now, now.Add(c.lostAfter())) {
+		if j := c.jobs[d.Job]; j != nil && j.delegate == peer {
 			j.delegate = ""
 			c.countDelegation("lost")
 			out = append(out, c.close(j, Answer{State: Expired, Reason: "the entry that ran the job cannot be reached"})...)
@@ -126,34 +199,9 @@
 	c.mu.Unlock()
 }
 
-// hasDelegatedTo reports whether a peer runs jobs of this entry; the caller holds the
-// lock.
-func (c *Coordinator) hasDelegatedTo(peer string) bool {
-	for _, j := range c.jobs {
-		if j.delegate == peer {
-			return true
-		}
-	}
-	return false
-}
-
 // countDelegation counts one step of a delegation.
 func (c *Coordinator) countDelegation(result string) {
 	if c.Observer != nil {
 		c.Observer.Delegation(result)
 	}
 }
-
-// ExpectedWait returns the expected time until a job that arrives now is started.
-func (c *Coordinator) ExpectedWait(now time.Time) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wait := time.Duration(0)
-	if now.Sub(c.shortAt) < shortageMemory {
-		wait = max(shortageMemory-now.Sub(c.shortAt), 0)
-	}
-	if len(c.waiting) > 0 {
-		wait = max(wait, c.backlog())
-	}
-	return wait
-}
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -60,6 +60,8 @@
 	updatedAt time.Time
 	// inFlight is the sum of the requests that the owner has not received yet.
 	inFlight packer.Amount
+	// order orders equal upstreams differently at each entry.
+	order uint64
 	// incarnation is that of the owner's last report, 0 if unknown, incarnationAt when
 	// a report first named it, and answering is true if the upstream answered the owner's
 	// last order or poll.
@@ -137,7 +139,7 @@
 		if s.available().Copies(st.Need, limit) <= 0 {
 			continue
 		}
-		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
+		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s), Order: s.order}
 		if st.MaxPerUpstream > 0 {
 			a.MaxTasks = limit
 		}
@@ -195,7 +197,7 @@
 func (c *Coordinator) HasRunsAt(peer string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hasDelegatedTo(peer) {
+	if c.ledger.Open(peer) > 0 {
 		return true
 	}
 	for _, j := range c.jobs {
@@ -281,7 +283,7 @@
 	for _, u := range list {
 		s := c.upstreams[u.Name]
 		if s == nil {
-			s = &upstreamState{slowness: 1}
+			s = &upstreamState{slowness: 1, order: xxhash.Sum64String(c.Self + "/" + u.Name)}
 		}
 		s.Upstream, s.unlistedSince = u, time.Time{}
 		upstreams[u.Name] = s
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -81,6 +82,7 @@
 	}
 	// The snapshots cover the tasks that wait by now.
 	c.takeSnapshots(now)
+	c.short = now.Sub(c.shortAt) < shortageMemory
 	out = append(out, c.placeStarted(now)...)
 	out = append(out, c.startWaiting(now)...)
 	next := c.untilNextPass(now)
@@ -167,7 +169,6 @@
 	}
 	var out []message
 	ahead, rate := 0.0, c.startRate
-	lagging := c.Delegator != nil && c.Delegator.Lagging()
 	c.sortWaiting()
 	for _, j := range slices.Clone(c.waiting) {
 		if c.suspended(j) {
@@ -180,7 +181,8 @@
 		}
 		remaining := j.effectiveDue().Sub(now) - startMargin
 		slack := remaining - c.shortestTimeToEnd(j)
-		if lagging && slack > 0 {
+		if c.lag > 0 {
+			// An entry that is short of CPU time hands on jobs for which there is capacity.
 			if m, ok := c.delegate(j, slack, 0, now); ok {
 				out = append(out, m)
 				continue
@@ -196,7 +198,10 @@
 			continue
 		}
 		tasks := tasksOfFirstStep(j.waitingTasks())
-		chosen := c.chooseUpstreams(j, tasks, remaining, now)
+		var chosen []string
+		if !c.throttled(j, len(tasks), now) {
+			chosen = c.chooseUpstreams(j, tasks, remaining, now)
+		}
 		if len(chosen) == 0 && !fits {
 			continue
 		}
@@ -227,6 +232,36 @@
 	return out
 }
 
+// throttled reports whether a job must not begin now, so that capacity is left for jobs
+// that have begun and for the most urgent ones.
+func (c *Coordinator) throttled(j *job, tasks int, now time.Time) bool {
+	margin := c.Throttle.Margin(now)
+	if margin == 0 || j.kept() {
+		return false
+	}
+	if lowest, highest := c.priorityRange(j.Service); lowest < highest && j.Priority <= lowest {
+		return false
+	}
+	v := c.snapshots[j.Service]
+	if v == nil {
+		return false
+	}
+	free, total := v.places(j.Steps[0].Need)
+	return float64(free-tasks) < margin*float64(total)
+}
+
+// priorityRange returns the lowest and the highest priority number of the queues of a
+// service that have had jobs; the lowest is the most urgent.
+func (c *Coordinator) priorityRange(service string) (lowest, highest int) {
+	lowest = math.MaxInt
+	for _, k := range c.kinds {
+		if k.service == service {
+			lowest, highest = min(lowest, k.priority), max(highest, k.priority)
+		}
+	}
+	return lowest, highest
+}
+
 // tasksOfFirstStep returns the tasks of the same step as the first task. Other steps
 // that are ready follow in the next pass, as the job is started by then.
 func tasksOfFirstStep(tasks []*task) []*task {
@@ -267,15 +302,23 @@
 	}
 	need := j.Steps[step].Need
 	list := c.candidates(c.candidateBuf[:0], v.near, j, step, avoid, n, remaining)
-	chosen := packer.Pack(n, need, list)
+	chosen := c.pack(n, need, list)
 	if len(chosen) < n && len(v.far) > 0 {
 		list = c.candidates(list, c.reachableFar(v), j, step, avoid, n, remaining)
-		chosen = packer.Pack(n, need, list)
+		chosen = c.pack(n, need, list)
 	}
 	c.candidateBuf = list
 	return chosen
 }
 
+// pack chooses upstreams among the candidates.
+func (c *Coordinator) pack(n int, need packer.Amount, list []packer.Candidate) []string {
+	if c.TightPacking && c.short {
+		return packer.PackTight(n, need, list, &c.sizes)
+	}
+	return packer.Pack(n, need, list)
+}
+
 // coresForStarted returns the cores that the waiting tasks of started jobs need, without
 // those that no upstream can hold now.
 func (c *Coordinator) coresForStarted() float64 {
@@ -296,35 +339,49 @@
 func (c *Coordinator) place(tasks []*task, chosen []string, now time.Time) []message {
 	var out []message
 	for i, name := range chosen {
-		s, t := c.upstreams[name], tasks[i]
-		j, st := t.job, t.step()
-		t.run++
-		t.upstream, t.owner, t.ownedAt, t.placed = name, s.owner, now, true
-		t.incarnation, t.reserved = s.latestIncarnation(), st.Need
-		if t.isolated {
-			t.reserved = s.Capacity
-		}
-		if l := c.peers[s.owner]; l != nil {
-			l.usedUntil = now.Add(farPeerPeriod)
-		}
-		j.placed++
-		if j.firstPlacedAt.IsZero() || j.firstPlacedAt.Equal(now) {
-			j.firstPlacedAt = now
-			j.placedAtOnce++
-		}
-		j.lastPlacedAt = now
-		c.startedWork.add(now, st.work()/float64(st.Tasks))
-		c.startedCores.add(now, float64(st.Need.CPU)/1000)
-		if c.Observer != nil {
-			c.Observer.Placed(s.owner == c.Self, s.Domain == c.Domain)
-		}
-		if m, ok := c.runRequest(t, false); ok {
-			out = append(out, m)
-		}
+		out = append(out, c.placeOn(tasks[i], c.upstreams[name], now)...)
 	}
 	return out
 }
 
+// placeOn assigns a task to an upstream.
+func (c *Coordinator) placeOn(t *task, s *upstreamState, now time.Time) []message {
+	j, st := t.job, t.step()
+	t.run++
+	t.upstream, t.owner, t.ownedAt, t.placed = s.Name, s.owner, now, true
+	t.incarnation, t.reserved = s.latestIncarnation(), st.Need
+	if t.isolated {
+		t.reserved = s.Capacity
+	}
+	if l := c.peers[s.owner]; l != nil {
+		l.usedUntil = now.Add(farPeerPeriod)
+	}
+	j.placed++
+	c.Throttle.Sent(now, 1)
+	c.sizes.Add(st.Need.CPU)
+	if j.firstPlacedAt.IsZero() || j.firstPlacedAt.Equal(now) {
+		j.firstPlacedAt = now
+		j.placedAtOnce++
+	}
+	j.lastPlacedAt = now
+	c.countStart(t, 1, now)
+	if c.Observer != nil {
+		c.Observer.Placed(s.owner == c.Self, s.Domain == c.Domain)
+	}
+	if m, ok := c.runRequest(t, false); ok {
+		return []message{m}
+	}
+	return nil
+}
+
+// countStart adds the start of a task to the rates of started work, or with sign -1
+// takes it back.
+func (c *Coordinator) countStart(t *task, sign float64, now time.Time) {
+	st := t.step()
+	c.startedWork.add(now, sign*st.work()/float64(st.Tasks))
+	c.startedCores.add(now, sign*float64(st.Need.CPU)/1000)
+}
+
 // runRequest builds the run request for a placed task, or with attach one that asks
 // only for the end of its run. It reports false while the owner cannot be reached.
 // The caller holds the lock.
@@ -417,6 +474,10 @@
 		t.avoidUpstream(e.GetUpstream())
 	case wire.RunEnd_no_room:
 		j.rejected++
+		c.Throttle.Rejected(time.Now(), 1)
+		if c.Throttle.Enabled {
+			c.countStart(t, -1, time.Now())
+		}
 	case wire.RunEnd_superseded:
 		t.run += runNumberGap
 	case wire.RunEnd_refused:
--- a/lib/coordinator/ranker.go
+++ b/lib/coordinator/ranker.go
@@ -20,6 +20,9 @@
 
 // kindStats holds statistics of the jobs of one queue.
 type kindStats struct {
+	// service and priority are those of the kind's last job.
+	service  string
+	priority int
 	// arrivals is the number of arrivals as of lastArrival; it decays with
 	// arrivalWindow.
 	arrivals    float64
--- a/lib/coordinator/snapshot.go
+++ b/lib/coordinator/snapshot.go
@@ -158,3 +158,19 @@
 	}
 	return time.Duration(float64(j.expectedRemaining()) * best)
 }
+
+// places returns how many tasks of the given need fit the free capacity of the near
+// upstreams, and how many fit their whole capacity.
+func (v *snapshot) places(need packer.Amount) (free, total int) {
+	for _, s := range v.nearUpstreams {
+		if !s.stateKnown || !s.usable {
+			continue
+		}
+		free += s.available().Copies(need, maxCopies)
+		total += s.Capacity.Copies(need, maxCopies)
+	}
+	return free, total
+}
+
+// maxCopies bounds the tasks that are counted on one upstream.
+const maxCopies = 1 << 10
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -65,6 +65,9 @@
 	SameDomain bool
 	// Rank orders candidates before anything else; lower ranks go first.
 	Rank uint64
+	// Order orders candidates that are equal otherwise. Entries that see the same
+	// upstreams give them different orders, so that they don't compete for the same one.
+	Order uint64
 	// MaxTasks limits the tasks that may start on the upstream; 0 for no limit.
 	MaxTasks int
 }
--- a/lib/packer/tight.go
+++ b/lib/packer/tight.go
@@ -58,9 +58,11 @@
 }
 
 // PackTight chooses upstreams like Pack, for use while capacity is short. Places are
-// ordered by rank, then by the CPU that is expected to stay unused: what is left on
-// the upstream, times the share of recent tasks that don't fit into it. Then come the
-// faster upstreams, the caller's own ones and those in its failure domain.
+// ordered by rank, then the caller's own ones come first: it knows at once what comes
+// free there, while all entries compete for what others announce. Then they are ordered
+// by the CPU that is expected to stay unused: what is left on the upstream, times the
+// share of recent tasks that don't fit into it. Last come the faster upstreams, and
+// those in the caller's failure domain.
 func PackTight(n int, need Amount, candidates []Candidate, sizes *Sizes) []string {
 	best := make([]place, 0, min(n, len(candidates))+1)
 	for _, c := range candidates {
@@ -99,6 +101,12 @@
 	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 		return c
 	}
+	if a.Own != b.Own {
+		if a.Own {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(a.wasted, b.wasted); c != 0 {
 		return c
 	}
@@ -108,7 +116,7 @@
 	if c := cmp.Compare(distance(a.Candidate), distance(b.Candidate)); c != 0 {
 		return c
 	}
-	return cmp.Compare(a.Name, b.Name)
+	return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
 }
 
 // shortageExit is the multiple of the places needed soon that must be free before a
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -38,6 +38,7 @@
 	"radishweir.org/lib/roster"
 	"radishweir.org/lib/router"
 	"radishweir.org/lib/runner"
+	"radishweir.org/lib/throttler"
 	"radishweir.org/lib/watcher"
 	"radishweir.org/lib/wire"
 	adapter "radishweir.org/platform"
@@ -112,6 +113,7 @@
 	keptJobsExist atomic.Bool
 	unsentNotices notices
 	pending       pending
+	received      receivedJobs
 }
 
 // New builds an entry and binds the socket for its peers. The missed counter
@@ -134,6 +136,7 @@
 	e.router = &router.Router{Log: e.Log}
 	e.evacuator = &evacuator.Evacuator{Prefix: adapter.EvacuationPrefix, Changed: e.applyEvacuation, Log: e.Log}
 	e.buildJobComponents(rec)
+	e.buildDelegation()
 	e.buildMembership()
 	e.buildKeeper()
 	e.buildServers()
@@ -149,6 +152,7 @@
 	}
 	e.coordinator = &coordinator.Coordinator{
 		Self: e.Name, Domain: e.FailureDomain, PeerTimeout: messenger.SilenceLimit, FarFactor: e.farFactor(),
+		Throttle: throttler.Throttler{Enabled: e.CongestionControl}, TightPacking: e.TightPacking,
 		Local: e.runner, Remote: e.messenger, Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
 	}
 }
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -36,7 +36,7 @@
 		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
 	}
 	e.drainKeptJobs(ctx)
-	for ctx.Err() == nil && e.runner.RunCount() > 0 {
+	for ctx.Err() == nil && e.runner.RunCount()+e.received.open() > 0 {
 		time.Sleep(drainInterval)
 	}
 }
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -33,10 +33,10 @@
 	registrations, token := e.enroller.Members()
 	group := e.nearGroup(registrations)
 	var entries []divider.Member
-	peers, near := make(map[string]messenger.Peer), make(map[string]bool)
+	peers, near, domains := make(map[string]messenger.Peer), make(map[string]bool), make(map[string]string)
 	for _, r := range registrations {
 		entries = append(entries, divider.Member{Name: r.GetName(), Domain: r.GetFailureDomain(), Weight: int(r.GetWeight())})
-		near[r.GetName()] = slices.Contains(group, r)
+		near[r.GetName()], domains[r.GetName()] = slices.Contains(group, r), r.GetFailureDomain()
 		peers[r.GetName()] = messenger.Peer{Address: r.GetEntryAddress(), Near: near[r.GetName()]}
 	}
 	members := divider.NewMembers(entries)
@@ -54,6 +54,7 @@
 		}
 	}
 	e.coordinator.SetNear(near)
+	e.coordinator.SetDomains(domains)
 	e.messenger.SetPeers(e.ctx, peers)
 	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
@@ -108,7 +109,7 @@
 
 // Linked implements messenger.Handler.
 func (e *Entry) Linked(peer string) bool {
-	return e.coordinator.HasRunsAt(peer) || e.runner.HasRunsOf(peer)
+	return e.coordinator.HasRunsAt(peer) || e.runner.HasRunsOf(peer) || e.received.from(peer)
 }
 
 // reportRunEnd reports the end of a run to its requester.
@@ -139,6 +140,7 @@
 func (e *Entry) Down(peer string) {
 	e.down.Store(peer, true)
 	e.runner.Detach(peer)
+	e.received.peerDown(peer)
 	e.coordinator.PeerDown(peer)
 	e.relayer.PeerDown(peer)
 	e.keeper.ResendClaims(peer)
@@ -184,6 +186,7 @@
 		e.coordinator.RunEnded(peer, end)
 	}
 	e.relayer.Handle(peer, f)
+	e.handleDelegation(peer, f)
 	if e.Evacuation {
 		e.evacuator.Learn(f.GetEvacuation())
 	}
@@ -193,7 +196,7 @@
 // Complete implements messenger.Handler.
 func (e *Entry) Complete(peer string, f *wire.PeerFrame, upstreams map[string]bool) {
 	e.relayer.Fill(peer, f)
-	f.Evacuation = e.evacuator.Message()
+	f.Evacuation, f.Load = e.evacuator.Message(), e.load()
 	if f.Keeping = e.keptJobsExist.Load(); f.Keeping {
 		f.Pending = e.pending.refresh(e.Name, e.keeper.Pending)
 	}
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -13,21 +13,28 @@
 
 // Settings holds the contents of the settings file of one process.
 type Settings struct {
-	Name             string `toml:"name"`
-	FailureDomain    string `toml:"failure_domain"`
-	CallerAddress    string `toml:"caller_address"`
-	ReadinessAddress string `toml:"readiness_address"`
-	EntryAddress     string `toml:"entry_address"`
-	OperatorAddress  string `toml:"operator_address"`
-	PlatformAddress  string `toml:"platform_address"`
-	StoreWrites      int    `toml:"store_writes"`
-	LogLevel         string `toml:"log_level"`
-	Cores            string `toml:"cores"`
-	FarFactor        string `toml:"far_factor"`
-	MemoryMB         int    `toml:"memory_mb"`
-	Evacuation       bool   `toml:"evacuation"`
-	BalancerWait     string `toml:"balancer_wait"`
-	DrainLimit       string `toml:"drain_limit"`
+	Name              string `toml:"name"`
+	FailureDomain     string `toml:"failure_domain"`
+	CallerAddress     string `toml:"caller_address"`
+	ReadinessAddress  string `toml:"readiness_address"`
+	EntryAddress      string `toml:"entry_address"`
+	OperatorAddress   string `toml:"operator_address"`
+	PlatformAddress   string `toml:"platform_address"`
+	StoreWrites       int    `toml:"store_writes"`
+	LogLevel          string `toml:"log_level"`
+	Cores             string `toml:"cores"`
+	FarFactor         string `toml:"far_factor"`
+	MemoryMB          int    `toml:"memory_mb"`
+	Evacuation        bool   `toml:"evacuation"`
+	CongestionControl bool   `toml:"congestion_control"`
+	Delegation        bool   `toml:"delegation"`
+	TightPacking      bool   `toml:"tight_packing"`
+	Priorities        bool   `toml:"priorities"`
+	LearnedRunTimes   bool   `toml:"learned_run_times"`
+	Separation        bool   `toml:"separation"`
+	OverloadControl   bool   `toml:"overload_control"`
+	BalancerWait      string `toml:"balancer_wait"`
+	DrainLimit        string `toml:"drain_limit"`
 }
 
 // fields is the table of settings with their defaults and validators.
@@ -46,6 +53,13 @@
 		{Key: "far_factor", Value: &s.FarFactor, Default: "1", Check: loader.FloatRange(1, 100)},
 		{Key: "memory_mb", Value: &s.MemoryMB, Default: 256, Check: loader.IntRange(32, 1<<20)},
 		{Key: "evacuation", Value: &s.Evacuation, Default: false},
+		{Key: "congestion_control", Value: &s.CongestionControl, Default: false},
+		{Key: "delegation", Value: &s.Delegation, Default: false},
+		{Key: "tight_packing", Value: &s.TightPacking, Default: false},
+		{Key: "priorities", Value: &s.Priorities, Default: false},
+		{Key: "learned_run_times", Value: &s.LearnedRunTimes, Default: false},
+		{Key: "separation", Value: &s.Separation, Default: false},
+		{Key: "overload_control", Value: &s.OverloadControl, Default: false},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.DurationRange(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.DurationRange(time.Second, time.Hour)},
 	}
