--- a/lib/throttler/throttler.go
+++ b/lib/throttler/throttler.go
@@ -71,16 +71,16 @@
 
 // update applies the time since the last call.
 func (t *Throttler) update(now time.Time) {
-	passed := min(now.Sub(t.updatedAt), time.Second).Seconds()
+	passed := now.Sub(t.updatedAt)
 	if passed <= 0 {
 		return
 	}
 	t.updatedAt = now
+	fade := math.Exp(-passed.Seconds() / window.Seconds())
+	t.sent *= fade
+	t.rejected *= fade
 	t.margin = 0
 	if t.sent >= minSent {
 		t.margin = min(max(gain*(t.rejected/t.sent-target), 0), maxMargin)
 	}
-	fade := math.Exp(-passed / window.Seconds())
-	t.sent *= fade
-	t.rejected *= fade
 }
