Measure interference in the runner and place by it

The runner follows which kinds run beside which on its upstreams and gives the ends of runs to the separator; the coordinator multiplies the slowness of candidates by what was found. Entries exchange their sums each second in frames that are sent anyway. Off by default (separation).

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -89,6 +89,9 @@
 	// Throttle decides how much capacity is left free for jobs that have begun and for
 	// the most urgent ones.
 	Throttle throttler.Throttler
+	// Interference returns by how much the slowness of an upstream counts more for a task of
+	// a kind, with the given numbers of runs by kind there; nil if that is not measured.
+	Interference func(kind string, beside map[string]uint32) float64
 	// TightPacking chooses upstreams by the capacity that stays unused while capacity is
 	// short.
 	TightPacking bool
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -68,6 +68,8 @@
 	incarnation   int64
 	incarnationAt time.Time
 	answering     bool
+	// kinds holds the number of runs by kind, if that matters for placement.
+	kinds map[string]uint32
 	// reached is true once the upstream answered its owner, so that it refuses all
 	// former ones.
 	reached bool
@@ -139,6 +141,10 @@
 		if s.available().Copies(st.Need, limit) <= 0 {
 			continue
 		}
+		if c.Interference != nil {
+			// Only the order depends on it: a job is never refused for what runs beside it.
+			slowness *= c.Interference(j.Kind, s.kinds)
+		}
 		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s), Order: s.order}
 		if st.MaxPerUpstream > 0 {
 			a.MaxTasks = limit
@@ -364,7 +370,7 @@
 		if u.GetIncarnation() != s.incarnation {
 			s.incarnation, s.incarnationAt = u.GetIncarnation(), time.Now()
 		}
-		s.answering = u.GetAnswering()
+		s.answering, s.kinds = u.GetAnswering(), u.GetKinds()
 		s.reached = s.reached || s.answering
 	}
 	var out []message
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -391,6 +391,9 @@
 		Upstream: t.upstream, Task: t.name(), Run: t.run, Amount: runner.AmountToWire(t.reserved),
 		ExpectedMs: float64(c.expectedOn(st, s).Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
 	}
+	if c.Interference != nil {
+		q.Kind = j.Kind
+	}
 	if !attach {
 		q.Spec = j.Spec
 	}
--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -202,6 +202,13 @@
 	return p != nil && p.send(add)
 }
 
+// Append queues the messages that add appends for the next frame to a peer, whenever that
+// is sent. It returns false if the peer is down.
+func (m *Messenger) Append(name string, add func(f *wire.PeerFrame)) bool {
+	p := m.peer(name)
+	return p != nil && p.append(add)
+}
+
 // Publish schedules sending the changed state of an upstream to all peers. Idle
 // peers get it with their next heartbeat unless it is urgent.
 func (m *Messenger) Publish(upstream string, urgent bool) {
--- a/lib/messenger/peer.go
+++ b/lib/messenger/peer.go
@@ -46,9 +46,22 @@
 	up       bool
 }
 
-// send queues the messages that add appends. It returns false if the peer is
-// down.
+// send queues the messages that add appends and sends them soon. It returns false if the
+// peer is down.
 func (p *peer) send(add func(f *wire.PeerFrame)) bool {
+	if !p.append(add) {
+		return false
+	}
+	p.mu.Lock()
+	p.activate(time.Now())
+	p.mu.Unlock()
+	p.wakeWriter()
+	return true
+}
+
+// append queues the messages that add appends for the next frame. It returns false if
+// the peer is down.
+func (p *peer) append(add func(f *wire.PeerFrame)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.connected() {
@@ -58,8 +71,6 @@
 		p.queued = &wire.PeerFrame{}
 	}
 	add(p.queued)
-	p.activate(time.Now())
-	p.wakeWriter()
 	return true
 }
 
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -125,8 +125,9 @@
 	return now.Sub(h.unansweredSince)
 }
 
-// recordEnd updates the upstream's health with the end of a run.
-func (h *health) recordEnd(r *run, cause wire.RunEnd_Cause, now time.Time) {
+// recordEnd updates the upstream's health with the end of a run. Its run time counts with
+// the given share; the rest is due to the runs beside it.
+func (h *health) recordEnd(r *run, cause wire.RunEnd_Cause, now time.Time, share float64) {
 	switch cause {
 	case wire.RunEnd_done:
 		if h.probing {
@@ -134,7 +135,7 @@
 		}
 		h.failures, h.severalJobsFailed, h.probing, h.nextEjection = 0, false, false, minEjection
 		if ms := r.request.GetExpectedMs(); ms > 0 {
-			ratio := float64(now.Sub(r.startedAt).Microseconds()) / 1000 / ms
+			ratio := share * float64(now.Sub(r.startedAt).Microseconds()) / 1000 / ms
 			ratio = min(max(ratio, minSlowness), maxSlowness)
 			h.updateSlowness(ratio)
 		}
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/separator"
 	"radishweir.org/lib/wire"
 )
 
@@ -131,6 +132,7 @@
 	// order or poll renews the lease.
 	leaseEnd time.Time
 	room     room
+	tracker  separator.Tracker
 	health
 }
 
@@ -188,7 +190,7 @@
 	now := time.Now()
 	return &wire.UpstreamState{
 		Upstream: h.upstream.Name, Free: AmountToWire(h.available()), Slowness: h.currentSlowness(now, h.runs), Usable: h.usable(now), Token: h.token,
-		Incarnation: h.incarnation, Answering: h.synced && !h.isSilent(),
+		Incarnation: h.incarnation, Answering: h.synced && !h.isSilent(), Kinds: h.kinds(),
 	}
 }
 
@@ -255,6 +257,7 @@
 	}
 	now, withdrawn := time.Now(), make(chan struct{})
 	h.runs[k] = &run{request: q, requester: requester, amount: amount, startedAt: now, withdrawn: withdrawn}
+	h.trackStart(k, q, now)
 	h.free = h.free.Minus(amount)
 	o := Order{Task: k.task, Run: k.run, Spec: q.GetSpec(), Token: h.token, Expires: h.extendLease(now), Withdrawn: withdrawn}
 	u := h.upstream
@@ -382,6 +385,7 @@
 // end. The caller holds the lock.
 func (h *ownedUpstream) endRun(k key, cause wire.RunEnd_Cause, listed bool) {
 	r := h.runs[k]
+	h.trackEnd(k, r, false, time.Now())
 	r.withdraw()
 	delete(h.runs, k)
 	h.free = h.free.Plus(r.amount)
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -197,7 +197,7 @@
 		h.recentEnds[k] = recentEnd{cause: e.Cause, endedAt: now, expires: now.Add(endRetention), listed: true}
 		return
 	}
-	h.recordEnd(r, e.Cause, now)
+	h.recordEnd(r, e.Cause, now, h.trackEnd(k, r, e.Cause == wire.RunEnd_done, now))
 	h.endRun(k, e.Cause, true)
 }
 
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -113,6 +113,9 @@
 	// Evacuated reports whether no run may start on the upstreams of a failure domain;
 	// nil means that none is evacuated.
 	Evacuated func(domain string) bool
+	// Interference measures which kinds of runs slow each other down; nil to measure
+	// nothing.
+	Interference *Interference
 	// Observer may be nil.
 	Observer Observer
 	// Log receives events.
--- a/lib/separator/factor.go
+++ b/lib/separator/factor.go
@@ -32,6 +32,9 @@
 	s.table.Store(t)
 }
 
+// Active reports whether any two kinds interfere. It may be called at any time.
+func (s *Separator) Active() bool { return s.table.Load() != nil }
+
 // Factor returns by how much the slowness of an upstream counts more for a task of
 // the given kind, with the numbers of runs by kind that are there: 1 plus the
 // expected slowdown of the new task and of the runs there, each as a share of its run
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -114,6 +114,8 @@
 	unsentNotices notices
 	pending       pending
 	received      receivedJobs
+	// interference is nil unless separation is set.
+	interference *runner.Interference
 }
 
 // New builds an entry and binds the socket for its peers. The missed counter
@@ -137,6 +139,7 @@
 	e.evacuator = &evacuator.Evacuator{Prefix: adapter.EvacuationPrefix, Changed: e.applyEvacuation, Log: e.Log}
 	e.buildJobComponents(rec)
 	e.buildDelegation()
+	e.buildSeparation()
 	e.buildMembership()
 	e.buildKeeper()
 	e.buildServers()
@@ -258,6 +261,7 @@
 	work.Go(func() { e.committer.Run(ctx) })
 	work.Go(func() { e.keeper.Run(ctx) })
 	work.Go(func() { e.followSettings(ctx) })
+	work.Go(func() { e.exchangeInterference(ctx) })
 	for _, s := range []*http.Server{e.callerServer, e.readinessServer} {
 		l, err := net.Listen("tcp", s.Addr)
 		if err != nil {
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -187,6 +187,9 @@
 	}
 	e.relayer.Handle(peer, f)
 	e.handleDelegation(peer, f)
+	if e.interference != nil {
+		e.interference.Merge(time.Now(), f.GetInterference())
+	}
 	if e.Evacuation {
 		e.evacuator.Learn(f.GetEvacuation())
 	}
