--- a/lib/delegator/codec/codec.go
+++ b/lib/delegator/codec/codec.go
@@ -51,11 +51,8 @@
 	maxRetryAfter = time.Minute
 )
 
-// errInvalid is the cause of all errors of this package.
-var errInvalid = errors.New("invalid delegation")
-
 // invalid returns an error that names what is wrong.
-func invalid(what string) error { return errors.Wrap(errInvalid, what) }
+func invalid(what string) error { return errors.New("invalid delegation: " + what) }
 
 // JobToWire converts a job that is delegated at the given time. It returns an error if
 // the job cannot be delegated: kept jobs, jobs without a deadline, and jobs that exceed
--- a/lib/delegator/delegator.go
+++ b/lib/delegator/delegator.go
@@ -17,7 +17,7 @@
 //	p := &delegator.Policy{Enabled: true, Domain: "domain-1", Config: delegator.DefaultConfig()}
 //	peer, reason := p.Choose(now, delegator.Job{Slack: slack}, self, peers, rand.IntN)
 //	if peer != "" {
-//		if number, ok := ledger.Add(peer, job.ID); ok { send(peer, job, number) }
+//		if number, ok := ledger.Add(peer, job.ID, now); ok { send(peer, job, number) }
 //	}
 //	load.Accepts = p.Accepts(self, now)
 //
@@ -207,8 +207,8 @@
 	}
 	p.preferred, p.others = p.preferred[:0], p.others[:0]
 	for i := range peers {
-		start, ok := p.expectedStart(now, &peers[i])
-		if !ok || start > j.Slack || slices.Contains(j.Tried, peers[i].Name) {
+		start, ok := p.expectedStart(now, &peers[i], j.Slack)
+		if !ok || slices.Contains(j.Tried, peers[i].Name) {
 			continue
 		}
 		if p.prefers(&peers[i], reason) {
@@ -228,14 +228,23 @@
 }
 
 // expectedStart returns the time until a peer is expected to start a job that is sent
-// now; false if the peer takes none.
-func (p *Policy) expectedStart(now time.Time, peer *Peer) (time.Duration, bool) {
-	l, age := &peer.Load, now.Sub(peer.Load.At)
-	if !peer.Up || !l.Accepts || peer.Open >= p.Config.MaxOpen || age > p.Config.MaxAge {
+// now; false if the peer takes none or would start it after the slack. Under load most
+// peers fail the first checks, which are the cheap ones.
+func (p *Policy) expectedStart(now time.Time, peer *Peer, slack time.Duration) (time.Duration, bool) {
+	l := &peer.Load
+	if !l.Accepts || !peer.Up || peer.Open >= p.Config.MaxOpen {
 		return 0, false
 	}
-	growth := time.Duration(max(age, 0).Seconds() * float64(p.Config.Growth))
-	return p.Config.Margin + l.Wait + lagFactor*l.Lag + growth + time.Duration(peer.Open)*p.Config.OpenCost, true
+	start := p.Config.Margin + l.Wait + lagFactor*l.Lag + time.Duration(peer.Open)*p.Config.OpenCost
+	if start > slack {
+		return 0, false
+	}
+	age := max(now.Sub(l.At), 0)
+	if age > p.Config.MaxAge {
+		return 0, false
+	}
+	start += time.Duration(age.Seconds() * float64(p.Config.Growth))
+	return start, start <= slack
 }
 
 // prefers reports whether a peer is among those that are asked first. Near entries see
--- a/lib/delegator/ledger.go
+++ b/lib/delegator/ledger.go
@@ -1,5 +1,12 @@
 package delegator
 
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
 // Delegated is a job that an entry delegated to another one.
 type Delegated struct {
 	// Number is that of the delegation within the incarnation of the first entry.
@@ -19,12 +26,14 @@
 	last  uint64
 	jobs  map[string]*Delegated
 	peers map[string]map[uint64]*Delegated
+	// lost holds the time at which the runs of a job are over whose peer went down.
+	lost map[string]time.Time
 }
 
 // Add records that a job is about to be sent to a peer, and returns the number of the
-// delegation. It returns false if the job is at a peer already.
-func (l *Ledger) Add(peer, job string) (number uint64, ok bool) {
-	if l.jobs[job] != nil {
+// delegation. It returns false if the job is at a peer already, see At.
+func (l *Ledger) Add(peer, job string, now time.Time) (number uint64, ok bool) {
+	if l.At(job, now) {
 		return 0, false
 	}
 	if l.jobs == nil {
@@ -52,14 +61,21 @@
 	return *d, true
 }
 
-// PeerDown removes and returns the jobs that were at a peer; they may have run.
-func (l *Ledger) PeerDown(peer string) []Delegated {
+// PeerDown removes and returns the jobs that were at a peer; they may have run, and their
+// runs are over at the given time. Until then At reports the jobs.
+func (l *Ledger) PeerDown(peer string, now, runsOverAt time.Time) []Delegated {
+	maps.DeleteFunc(l.lost, func(_ string, t time.Time) bool { return !now.Before(t) })
+	if l.lost == nil {
+		l.lost = make(map[string]time.Time)
+	}
 	var out []Delegated
 	for _, d := range l.peers[peer] {
 		delete(l.jobs, d.Job)
+		l.lost[d.Job] = runsOverAt
 		out = append(out, *d)
 	}
 	delete(l.peers, peer)
+	slices.SortFunc(out, func(a, b Delegated) int { return cmp.Compare(a.Number, b.Number) })
 	return out
 }
 
@@ -75,14 +91,10 @@
 	return *d, true
 }
 
-// At returns the peer that a job is at. A job that is submitted again must not be run
-// here as long as the earlier submission is at a peer.
-func (l *Ledger) At(job string) (peer string, ok bool) {
-	d := l.jobs[job]
-	if d == nil {
-		return "", false
-	}
-	return d.Peer, true
+// At reports whether a job may have runs that a peer started. Such a job must not be run
+// here if it is submitted again.
+func (l *Ledger) At(job string, now time.Time) bool {
+	return l.jobs[job] != nil || now.Before(l.lost[job])
 }
 
 // Open returns the number of jobs at a peer.
