--- a/lib/prioritizer/prioritizer.go
+++ b/lib/prioritizer/prioritizer.go
@@ -137,7 +137,7 @@
 	for _, q := range p.queues {
 		starved[q.priority] = p.starved(q.priority)
 	}
-	slices.SortStableFunc(list, func(a, b Waiting) int {
+	slices.SortFunc(list, func(a, b Waiting) int {
 		if p.Enabled && a.Priority != b.Priority {
 			if x := starved[a.Priority]; x != starved[b.Priority] {
 				if x {
@@ -147,7 +147,7 @@
 			}
 			return cmp.Compare(a.Priority, b.Priority)
 		}
-		return cmp.Or(cmp.Compare(b.Rank, a.Rank), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(cmp.Compare(b.Rank, a.Rank), a.Arrived.Compare(b.Arrived), cmp.Compare(a.Index, b.Index))
 	})
 }
 
