--- a/lib/separator/separator.go
+++ b/lib/separator/separator.go
@@ -95,6 +95,9 @@
 	// maxSampleRuns is the number of runs above which a sample is not plausible: an
 	// entry observes some 100 runs/s and sends samples every second.
 	maxSampleRuns = 10000
+	// maxSampleErrors is the number of standard errors by which the mean of a plausible
+	// sample may exceed the highest excess.
+	maxSampleErrors = 5
 	// priorRuns is the weight, in runs, of the assumption that kinds do not
 	// interfere. It keeps the regression stable while few runs are known.
 	priorRuns = 2.0
@@ -460,11 +463,11 @@
 }
 
 // estimate returns the mean excess and its standard error.
-func (t sums) estimate() (mean, err float64) {
-	if t.runs <= 0 {
+func (s sums) estimate() (mean, err float64) {
+	if s.runs <= 0 {
 		return 0, math.Inf(1)
 	}
-	return t.sum / t.runs, math.Sqrt(max(t.rest/t.runs, minSpread*minSpread) / t.runs)
+	return s.sum / s.runs, math.Sqrt(max(s.rest/s.runs, minSpread*minSpread) / s.runs)
 }
 
 // examine decides for each pair whether it interferes.
@@ -494,10 +497,11 @@
 	s.publish()
 }
 
-// Merge adds samples of another entry. Samples that are not possible are left out.
+// Merge adds samples of another entry. Samples that are not plausible are left out.
 func (s *Separator) Merge(now time.Time, list []Sample) {
 	for _, m := range list {
-		if !m.valid() {
+		t, ok := m.sums()
+		if !ok {
 			continue
 		}
 		i, j := s.index(now, m.Kind), s.index(now, m.Beside)
@@ -506,17 +510,22 @@
 		}
 		p := &s.pairs[i][j]
 		p.decay(now)
-		p.merged.add(sums{m.Runs, m.Sum, max(m.SumOfSquares-m.Sum*m.Sum/m.Runs, 0)}, 1)
+		p.merged.add(t, 1)
 	}
 	if len(list) > 0 {
 		s.examine(now)
 	}
 }
 
-// valid reports whether an entry can have measured the sample.
-func (m Sample) valid() bool {
-	return m.Kind != "" && m.Beside != "" && m.Runs > 0 && m.Runs <= maxSampleRuns &&
-		math.Abs(m.Sum) <= maxLog*m.Runs && m.SumOfSquares >= 0 && !math.IsInf(m.SumOfSquares, 0)
+// sums returns the sums that a sample stands for, and whether they are plausible. A
+// sample of few runs may have a mean far from 0, as its error is large.
+func (m Sample) sums() (t sums, ok bool) {
+	if m.Kind == "" || m.Beside == "" || !(m.Runs > 0) || m.Runs > maxSampleRuns {
+		return t, false
+	}
+	t = sums{m.Runs, m.Sum, max(m.SumOfSquares-m.Sum*m.Sum/m.Runs, 0)}
+	ok = math.Abs(t.sum) <= maxLog*t.runs+maxSampleErrors*maxResidual*math.Sqrt(t.runs) && t.rest <= 2*maxResidual*maxResidual*t.runs
+	return t, ok
 }
 
 // Drain returns what this entry has measured since the last call, to be sent to all
