Read the shard table after an unanswered write that is not resolved

Cause: a read of the table that is answered after the watch has reported a newer one makes the held table count as lost by the platform, with the revision of the older one. The next step writes it again, which the platform refuses. After a conflict the placer reads the table, and the mark is gone; but if the answer to that write is lost, it read nothing, and each following step failed in the same way, before it came to assign or balance.

Change: restore and assign read the table after an unanswered write. A handover already does, in resolveWrite.

--- a/lib/placer/assigner.go
+++ b/lib/placer/assigner.go
@@ -32,7 +32,7 @@
 	if n == 0 {
 		return false
 	}
-	err := p.writeTable(ctx, t)
+	err := p.writeOrRead(ctx, t)
 	p.Log.Info().Str("failure_domain", fd).Int("shards", n).AnErr("result", err).Msg("shards_assigned")
 	return true
 }
@@ -44,7 +44,7 @@
 	if !ok || !t.lost {
 		return false
 	}
-	err := p.writeTable(ctx, t)
+	err := p.writeOrRead(ctx, t)
 	p.Log.Warn().Str("failure_domain", t.GetFailureDomain()).AnErr("result", err).Msg("shard_table_restored")
 	return true
 }
@@ -136,6 +136,19 @@
 	return nil
 }
 
+// writeOrRead is writeTable for a change that need not be resolved: after a lost answer
+// it reads the table, as the write may have taken effect or the held table may be out of
+// date. Without the read the same write could fail without an answer again and again.
+func (p *Placer) writeOrRead(ctx context.Context, t table) error {
+	err := p.writeTable(ctx, t)
+	if errors.Is(err, platform.ErrUnknown) {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		p.readTable(call, t.GetFailureDomain())
+	}
+	return err
+}
+
 // readTable reads a table that changed before the watch reported the change.
 func (p *Placer) readTable(ctx context.Context, failureDomain string) {
 	kv, err := p.Store.Get(ctx, TableKey(failureDomain))
--- a/lib/placer/stop_test.go
+++ b/lib/placer/stop_test.go
@@ -78,11 +78,11 @@
 	return len(k.paused)
 }
 
-// twoMembers are two live entries.
-type twoMembers struct{ list []registrar.Member }
+// fixedMembers are live entries.
+type fixedMembers struct{ list []registrar.Member }
 
-func (m twoMembers) Members() []registrar.Member { return m.list }
-func (twoMembers) Dead(string, string) bool      { return false }
+func (m fixedMembers) Members() []registrar.Member { return m.list }
+func (fixedMembers) Dead(string, string) bool      { return false }
 
 // accepting is a Caller whose peers accept every message.
 type accepting struct{}
@@ -102,7 +102,7 @@
 			list = append(list, registrar.Member{Registration: g, Registered: true, ReachableUntil: time.Now().Add(time.Hour)})
 		}
 		store := &slowStore{}
-		p := &Placer{Self: list[0].Registration, Store: store, Members: twoMembers{list}, Tracker: k, Caller: accepting{}, Log: zerolog.Nop()}
+		p := &Placer{Self: list[0].Registration, Store: store, Members: fixedMembers{list}, Tracker: k, Caller: accepting{}, Log: zerolog.Nop()}
 		table := &wire.ShardTable{FailureDomain: "north", Version: 1}
 		for range ShardsPerDomain {
 			table.Shards = append(table.Shards, &wire.ShardOwner{Name: "a", Incarnation: "a-1", Epoch: 1})
