Begin no handover of shards while the platform does not answer

Cause: an entry whose failure domain is out of balance pauses the shards that it wants to hand over, sends their records and only then writes the table. In an outage this fails at each step, about every 500 ms, so half of the shards stop starting jobs for as long as the attempt takes, again and again. If the platform is silent rather than down, the write gets no answer, and they stop until it is back. The test looked at one moment of the outage, and hit an attempt only under load.

Ruled out: the change of the placer's Run and of the drain (TestStopDuringHandover). The attempt is made in balance, which neither of them touches.

Change: handOver reads the table before it pauses shards, and begins only if the platform answers (event handover_deferred). The platform may still go away in between, as before. The cost is one read for each handover.

TestOutageDuringHandover is stricter: it looks at the served shards through the whole second of the outage, in place of once at its end.

--- a/lib/placer/handover.go
+++ b/lib/placer/handover.go
@@ -81,8 +81,14 @@
 }
 
 // handOver moves shards with their records to another member. It reports whether
-// the platform's table no longer names this entry as the home of any of them.
+// the platform's table no longer names this entry as the home of any of them. It begins
+// only while the platform answers: the shards start no job until the table is written,
+// and after a lost answer until the platform is back.
 func (p *Placer) handOver(ctx context.Context, t table, shards []Shard, to registrar.Member) bool {
+	if err := p.checkPlatform(ctx, t.GetFailureDomain()); err != nil {
+		p.Log.Warn().Str("to", to.GetName()).Err(err).Msg("handover_deferred")
+		return false
+	}
 	h := &wire.Handover{Id: p.Self.GetIncarnation() + "-" + strconv.FormatUint(rand.Uint64(), 16)}
 	h.Shards = p.Tracker.Pause(shards)
 	if err := p.sendRecords(ctx, to, h); err != nil {
@@ -105,6 +111,14 @@
 	return p.finishHandover(shards, to, err)
 }
 
+// checkPlatform reads a table from the platform and returns an error if that fails.
+func (p *Placer) checkPlatform(ctx context.Context, failureDomain string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.Store.Get(ctx, TableKey(failureDomain))
+	return err
+}
+
 // finishHandover releases the shards that moved and resumes the others. It reports
 // whether all moved.
 func (p *Placer) finishHandover(shards []Shard, to registrar.Member, err error) bool {
--- a/proof/placer_test.go
+++ b/proof/placer_test.go
@@ -251,9 +251,12 @@
 	d.awaitServed("a")
 	d.plat.SetFaults(platformer.Faults{Down: true})
 	d.join("b")
-	time.Sleep(time.Second)
-	if n := d.servedBy("a"); n != placer.ShardsPerDomain {
-		t.Errorf("a serves %d shards in the outage", n)
+	least := placer.ShardsPerDomain
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
+		least = min(least, d.servedBy("a"))
+	}
+	if least != placer.ShardsPerDomain {
+		t.Errorf("a serves %d shards in the outage", least)
 	}
 	d.plat.SetFaults(platformer.Faults{LoseWrites: true})
 	time.AfterFunc(50*time.Millisecond, func() { d.plat.SetFaults(platformer.Faults{Down: true}) })
