Tell peers the measured time to a start, and drop old frames with delegated jobs

An entry told its peers a wait of up to 250 ms after any job that found no capacity at once, so that entries with room took no delegated jobs. It now tells the mean time to a start. A job that has waited is expected to wait as long again. A suspended entry that wakes must not run delegated jobs that waited in its sockets, as their first entry has given them up: frames with such jobs are dropped like those with run requests.

--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -21,6 +21,10 @@
 	domains map[string]string
 	loads   map[string]delegator.Load
 	lag     time.Duration
+	// startDelay is the mean time from the arrival of recent jobs to their first start, as
+	// of startDelayAt.
+	startDelay   time.Duration
+	startDelayAt time.Time
 	// shortAt is the last time at which a waiting job found no capacity.
 	shortAt time.Time
 	// delegateList are the peers that may take jobs as of delegateListAt, the time of a pass.
@@ -65,8 +69,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := delegator.Load{Lag: c.lag, At: now}
-	if since := now.Sub(c.shortAt); since < shortageMemory {
-		l.Wait = shortageMemory - since
+	if now.Sub(c.startDelayAt) < shortageMemory {
+		l.Wait = c.startDelay
 	}
 	if len(c.waiting) > 0 {
 		l.Wait = max(l.Wait, c.backlog())
@@ -75,6 +79,21 @@
 	return l
 }
 
+// startDelayShare is the weight of one job in the mean time to a start; the mean follows a
+// burst within some ten jobs.
+const startDelayShare = 0.1
+
+// countStartDelay adds a job that begins now to the mean time to a start; the caller
+// holds the lock.
+func (c *Coordinator) countStartDelay(j *job, now time.Time) {
+	delay := now.Sub(j.Arrived)
+	if now.Sub(c.startDelayAt) >= shortageMemory {
+		c.startDelay = delay
+	}
+	c.startDelay += time.Duration(startDelayShare * float64(delay-c.startDelay))
+	c.startDelayAt = now
+}
+
 // delegable reports whether a job may be handed to another entry: it is not kept, did
 // not come from another entry, and no run of it was requested here.
 func (j *job) delegable() bool {
--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -145,7 +145,10 @@
 			// Only the order depends on it: a job is never refused for what runs beside it.
 			slowness *= c.Interference(j.Kind, s.kinds)
 		}
-		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s), Order: s.order}
+		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
+		if c.TightPacking {
+			a.Order = s.order
+		}
 		if st.MaxPerUpstream > 0 {
 			a.MaxTasks = limit
 		}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -209,7 +209,8 @@
 			ahead += workOf(&j.Job)
 			wait := time.Duration(ahead / rate * float64(time.Second))
 			c.shortAt = now
-			if m, ok := c.delegate(j, slack, wait, now); ok {
+			// A job that has waited is expected to wait as long again.
+			if m, ok := c.delegate(j, slack, max(wait, now.Sub(j.Arrived)), now); ok {
 				ahead -= workOf(&j.Job)
 				out = append(out, m)
 				continue
@@ -224,6 +225,7 @@
 			continue
 		}
 		out = append(out, c.place(tasks, chosen, now)...)
+		c.countStartDelay(j, now)
 		j.started = true
 		if i := slices.Index(c.waiting, j); i >= 0 {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -55,7 +55,7 @@
 		if err := readLimits.UnmarshalFrom(r, f); err != nil {
 			return err
 		}
-		if age := frameAge(f); len(f.GetRequests()) > 0 && age > maxFrameAge {
+		if age := frameAge(f); len(f.GetRequests())+len(f.GetDelegated()) > 0 && age > maxFrameAge {
 			return errors.Errorf("a frame with requests is %v old", age)
 		}
 		p := m.peer(name)
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -113,6 +113,12 @@
 		if c := cmp.Compare(distance(a), distance(b)); c != 0 {
 			return c
 		}
+		if a.Order != b.Order {
+			if c := cmp.Compare(leftoverClass(a, need), leftoverClass(b, need)); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.Order, b.Order)
+		}
 		if c := cmp.Compare(leftoverCPU(a, need), leftoverCPU(b, need)); c != 0 {
 			return c
 		}
@@ -142,6 +148,15 @@
 	return 2
 }
 
+// leftoverClasses is the number of classes of unused CPU within which candidates with an
+// Order count as equal: entries that all took the one with the least would compete for it.
+const leftoverClasses = 4
+
+// leftoverClass returns the class of the CPU that stays unused.
+func leftoverClass(c Candidate, need Amount) int64 {
+	return leftoverCPU(c, need) * leftoverClasses / max(need.CPU, 1)
+}
+
 // leftoverCPU returns the CPU that stays unused after as many tasks as the free CPU
 // allows.
 func leftoverCPU(c Candidate, need Amount) int64 {
