Measure how late timers fire, delegate by it and shed new connections

An entry at the limit of its CPU time went on to take all jobs and connections. It now samples how late its timers fire; while it is short of CPU time, jobs for which there is capacity go to near entries, and readiness is false for a second in ten. Off by default (overload_control). The weight in the division of upstreams is not changed yet: the package computes it, but a registration cannot be written again with another weight.

--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -47,6 +47,13 @@
 	c.domains = domains
 }
 
+// DomainOf returns the failure domain of a registered peer; empty if it is not known.
+func (c *Coordinator) DomainOf(peer string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.domains[peer]
+}
+
 // SetLag sets the time by which the timers of this entry fire late.
 func (c *Coordinator) SetLag(lag time.Duration) {
 	c.mu.Lock()
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -114,6 +114,7 @@
 	unsentNotices notices
 	pending       pending
 	received      receivedJobs
+	overload      overload
 	// interference is nil unless separation is set.
 	interference *runner.Interference
 }
@@ -211,7 +212,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !e.ready() {
+		if !e.ready() || !e.acceptsConnections() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -262,6 +263,7 @@
 	work.Go(func() { e.keeper.Run(ctx) })
 	work.Go(func() { e.followSettings(ctx) })
 	work.Go(func() { e.exchangeInterference(ctx) })
+	work.Go(func() { e.monitorLag(ctx) })
 	for _, s := range []*http.Server{e.callerServer, e.readinessServer} {
 		l, err := net.Listen("tcp", s.Addr)
 		if err != nil {
--- a/radishweir/internal/composer/delegation.go
+++ b/radishweir/internal/composer/delegation.go
@@ -24,9 +24,9 @@
 	e.coordinator.EncodeDelegation = codec.JobToWire
 }
 
-// load returns the load of this entry for its peers, nil if it delegates nothing.
+// load returns the load of this entry for its peers, nil if they need none.
 func (e *Entry) load() *wire.EntryLoad {
-	if !e.Delegation {
+	if !e.Delegation && !e.OverloadControl {
 		return nil
 	}
 	l := e.coordinator.Load(time.Now(), e.draining.Load())
@@ -36,6 +36,7 @@
 // handleDelegation processes the fields of a frame that concern delegated jobs.
 func (e *Entry) handleDelegation(peer string, f *wire.PeerFrame) {
 	if l := f.GetLoad(); l != nil {
+		e.recordPeerLag(peer, time.Duration(l.GetLagMs())*time.Millisecond)
 		e.coordinator.PeerLoad(peer, delegator.Load{
 			Lag: time.Duration(l.GetLagMs()) * time.Millisecond, Wait: time.Duration(l.GetWaitMs()) * time.Millisecond,
 			Accepts: l.GetAccepts(), At: time.Now(),
--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -26,6 +26,9 @@
 	gauge("failure_domains_evacuated", "Failure domains that take no new runs.", func() float64 {
 		return float64(len(e.evacuator.Message().GetDomains()))
 	})
+	gauge("cpu_state", "How short of CPU time this entry is: 0 normal, 1 busy, 2 overloaded.", func() float64 {
+		return float64(e.cpuState())
+	})
 	gauge("jobs_open", "Jobs without an answer.", func() float64 {
 		open, _ := e.coordinator.Counts()
 		return float64(open)
