--- a/lib/packer/tight.go
+++ b/lib/packer/tight.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// sizeSamples is the number of recent needs that a Sizes holds: about a tenth of a
-	// second of starts of one entry, so that the order follows a change of the load
-	// before the callers of that load give up.
+	// sizeSamples is the number of recent needs that a Sizes holds: those of the jobs
+	// that one entry starts in two to three seconds at 25 a second, so that the order
+	// follows a burst, which lasts longer.
 	sizeSamples = 64
 	// tieWidth is the difference, in thousandths of a core, below which two amounts of
 	// wasted CPU count as equal and the faster upstream is chosen.
@@ -111,8 +111,8 @@
 	return cmp.Compare(a.Name, b.Name)
 }
 
-// shortageExit is the multiple of the places needed soon that must be free before a
-// shortage ends, so that the order doesn't change with every start.
+// shortageExit is the number of free places per task that starts soon at which a shortage
+// ends, so that the order doesn't change with every start.
 const shortageExit = 2
 
 // Shortage tells when to use PackTight. Its zero value is ready for use.
@@ -120,8 +120,8 @@
 
 // Short reports whether capacity is short, given the free places on near upstreams and
 // the number of tasks that start in 100 ms, the time after which other entries' starts
-// are known. A shortage begins when there are fewer places than tasks and ends when
-// there are twice as many.
+// are known. A shortage begins when there are fewer places than tasks, and ends when
+// there are shortageExit times as many.
 func (s *Shortage) Short(places, tasks int) bool {
 	if s.short {
 		s.short = places < shortageExit*tasks
--- a/lib/packer/tight_test.go
+++ b/lib/packer/tight_test.go
@@ -26,6 +26,11 @@
 	if want := []string{"tight", "tight", "fast", "other-rank"}; !slices.Equal(got, want) {
 		t.Errorf("chose %v, want %v", got, want)
 	}
+	// On the small upstream, the task would leave CPU that no other task fits into.
+	list = []packer.Candidate{{Name: "32", Free: packer.Amount{CPU: 32000}, Slowness: 0.5}, {Name: "48", Free: packer.Amount{CPU: 48000}, Slowness: 1}}
+	if got := packer.PackTight(1, packer.Amount{CPU: 20000}, list, sizes); !slices.Equal(got, []string{"48"}) {
+		t.Errorf("a task of 20 cores goes to %v, want 48", got)
+	}
 }
 
 func TestSizesForgetOldNeeds(t *testing.T) {
@@ -51,8 +56,8 @@
 	}
 }
 
-// wave is a job of the simulated load, or one of its runs.
-type wave struct {
+// work is a job of the simulated load, or one of its runs; times are in milliseconds.
+type work struct {
 	tasks, up          int
 	cpu                int64
 	arrived, took, end float64
@@ -69,26 +74,27 @@
 		total += float64(cores)
 		list[i] = packer.Candidate{Name: strconv.Itoa(i), Free: packer.Amount{CPU: int64(1000 * cores)}, Slowness: 1 + 0.1*speeds.NormFloat64()}
 	}
-	kinds := []wave{{tasks: 8, took: 51}, {tasks: 4, took: 760}, {tasks: 2, took: 170}}
+	kinds := []work{{tasks: 8, took: 51}, {tasks: 4, took: 760}, {tasks: 2, took: 170}}
 	next := make([]float64, len(kinds))
-	var waiting, active []wave
+	var waiting, active []work
 	var fitting []packer.Candidate
 	started := 0
 	for now := range 6000 {
-		active = slices.DeleteFunc(active, func(r wave) bool {
-			if r.end <= float64(now) {
-				list[r.up].Free.CPU += r.cpu
+		active = slices.DeleteFunc(active, func(r work) bool {
+			if r.end > float64(now) {
+				return false
 			}
-			return r.end <= float64(now)
+			list[r.up].Free.CPU += r.cpu
+			return true
 		})
 		for i, k := range kinds {
 			for ; next[i] <= float64(now); next[i] += arrivals.ExpFloat64() * float64(k.tasks*16) * k.took * 3 / (0.95 * total) {
-				w := wave{tasks: k.tasks, arrived: next[i], took: k.took * math.Exp(0.4*arrivals.NormFloat64()-0.08)}
+				w := work{tasks: k.tasks, arrived: next[i], took: k.took * math.Exp(0.4*arrivals.NormFloat64()-0.08)}
 				w.cpu = int64(16000 * min(1.5, max(0.3, 1+0.2*arrivals.NormFloat64())))
 				waiting = append(waiting, w)
 			}
 		}
-		waiting = slices.DeleteFunc(waiting, func(w wave) bool {
+		waiting = slices.DeleteFunc(waiting, func(w work) bool {
 			if float64(now) > w.arrived+0.6*w.took+60 {
 				refused++
 				return true
@@ -121,25 +127,23 @@
 // Tasks of half an upstream's size must not be paired by chance while capacity is
 // short: fewer would run at once and more jobs would be refused.
 func TestTightPackingServesMore(t *testing.T) {
-	var loose, tight [3]float64
+	var sum [2][3]float64
 	for seed := range uint64(3) {
 		sizes := &packer.Sizes{}
-		for out, pack := range map[*[3]float64]func(int, packer.Amount, []packer.Candidate) []string{
-			&loose: packer.Pack,
-			&tight: func(n int, need packer.Amount, list []packer.Candidate) []string {
-				chosen := packer.PackTight(n, need, list, sizes)
-				if len(chosen) == n {
-					sizes.Add(need.CPU)
-				}
-				return chosen
-			},
-		} {
+		tight := func(n int, need packer.Amount, list []packer.Candidate) []string {
+			chosen := packer.PackTight(n, need, list, sizes)
+			if len(chosen) == n {
+				sizes.Add(need.CPU)
+			}
+			return chosen
+		}
+		for i, pack := range []func(int, packer.Amount, []packer.Candidate) []string{packer.Pack, tight} {
 			running, wait, refused := simulate(seed, pack)
-			out[0], out[1], out[2] = out[0]+running/3, out[1]+wait/3, out[2]+float64(refused)
+			sum[i] = [3]float64{sum[i][0] + running/3, sum[i][1] + wait/3, sum[i][2] + float64(refused)}
 		}
 	}
-	t.Logf("tasks at once, ms to start, refused: %.4v with Pack, %.4v with PackTight", loose, tight)
-	if tight[0] <= loose[0] || tight[2] > loose[2]*0.9 {
+	t.Logf("tasks at once, ms to start, refused: %.4v with Pack, %.4v with PackTight", sum[0], sum[1])
+	if sum[1][0] <= sum[0][0] || sum[1][2] > sum[0][2]*0.9 {
 		t.Error("PackTight doesn't serve more than Pack")
 	}
 }
