--- a/lib/separator/fleet_test.go
+++ b/lib/separator/fleet_test.go
@@ -77,6 +77,7 @@
 	name       string
 	job        *job
 	left, work float64
+	slowness   float64
 	started    time.Time
 }
 
@@ -186,7 +187,7 @@
 	f.waits = append(f.waits, f.now.Sub(j.arrived).Seconds())
 	for i, name := range chosen {
 		u := byName[name]
-		r := &run{fmt.Sprint(j.name, ".", i), j, j.work[i], j.work[i], f.now}
+		r := &run{fmt.Sprint(j.name, ".", i), j, j.work[i], j.work[i], u.slowness, f.now}
 		u.free -= perTask
 		u.tracker.Start(r.name, j.queue.kind, f.now)
 		u.runs = append(u.runs, r)
@@ -230,9 +231,9 @@
 	beside := u.tracker.End(r.name, f.now)
 	took := f.now.Sub(r.started).Seconds()
 	ratio := took / j.queue.takes.Seconds()
-	e := separator.Run{Kind: j.queue.kind, Ratio: ratio / u.slowness, Beside: beside, Job: j.name, Upstream: u.name}
+	e := separator.Run{Kind: j.queue.kind, Ratio: ratio / r.slowness, Beside: beside, Job: j.name, Upstream: u.name}
 	if !f.blind {
-		e.Slowness = u.slowness
+		e.Slowness = r.slowness
 	}
 	s.Observe(f.now, e)
 	if !f.off {
--- a/lib/separator/separator.go
+++ b/lib/separator/separator.go
@@ -23,7 +23,7 @@
 //	beside := t.End(task, now)
 //
 //	s := &separator.Separator{}
-//	ratio := took / (expected * slowness) // slowness as used for the run's placement
+//	ratio := took / (expected * slowness) // slowness when the run started
 //	s.Observe(now, separator.Run{
 //		Kind: kind, Ratio: ratio, Beside: beside, Slowness: slowness, Job: job, Upstream: upstream,
 //	})
@@ -127,7 +127,8 @@
 	// this kind ran on the same upstream.
 	Beside map[string]float64
 	// Slowness is the slowness of the upstream that the expected run time contains, 0 if
-	// it is not known.
+	// it is not known. That when the run started is better than that at its end, which
+	// contains what slowed the run down.
 	Slowness float64
 	// Job and Upstream name the job and the upstream of the run. Runs without one
 	// count as independent.
