--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -155,6 +155,8 @@
 	// tasks.
 	short bool
 	sizes packer.Sizes
+	// marginLogged is true while the log says that new jobs leave capacity free.
+	marginLogged bool
 	// outbox holds the messages to send, in order; sending is true while a call of
 	// sendQueued sends them.
 	outbox  []message
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -83,6 +83,7 @@
 	// The snapshots cover the tasks that wait by now.
 	c.takeSnapshots(now)
 	c.short = now.Sub(c.shortAt) < shortageMemory
+	c.logMargin(now)
 	out = append(out, c.placeStarted(now)...)
 	out = append(out, c.startWaiting(now)...)
 	next := c.untilNextPass(now)
@@ -252,6 +253,29 @@
 	return float64(free-tasks) < margin*float64(total)
 }
 
+// logMarginAt is the margin from which a shortage is worth a log line.
+const logMarginAt = 0.05
+
+// logMargin logs when new jobs begin to leave capacity free, and when that ends. The
+// caller holds the lock.
+func (c *Coordinator) logMargin(now time.Time) {
+	switch margin := c.Throttle.Margin(now); {
+	case margin >= logMarginAt && !c.marginLogged:
+		c.marginLogged = true
+		c.Log.Info().Float64("margin", margin).Int("waiting", len(c.waiting)).Msg("start_margin_raised")
+	case margin == 0 && c.marginLogged:
+		c.marginLogged = false
+		c.Log.Info().Msg("start_margin_zero")
+	}
+}
+
+// StartMargin returns the share of the near capacity that new jobs leave free.
+func (c *Coordinator) StartMargin() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Throttle.Margin(time.Now())
+}
+
 // priorityRange returns the lowest and the highest priority number of the queues of a
 // service that have had jobs; the lowest is the most urgent.
 func (c *Coordinator) priorityRange(service string) (lowest, highest int) {
--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -29,6 +29,8 @@
 	gauge("cpu_state", "How short of CPU time this entry is: 0 normal, 1 busy, 2 overloaded.", func() float64 {
 		return float64(e.cpuState())
 	})
+	gauge("start_margin", "Share of the near capacity that new jobs leave free.", func() float64 { return e.coordinator.StartMargin() })
+	gauge("interfering_pairs", "Pairs of kinds of tasks that are kept apart.", func() float64 { return float64(e.interferingPairs()) })
 	gauge("jobs_open", "Jobs without an answer.", func() float64 {
 		open, _ := e.coordinator.Counts()
 		return float64(open)
--- a/radishweir/internal/composer/separation.go
+++ b/radishweir/internal/composer/separation.go
@@ -80,3 +80,17 @@
 	}
 	return out
 }
+
+// interferingPairs returns the number of pairs of kinds that are kept apart.
+func (e *Entry) interferingPairs() int {
+	if e.interference == nil {
+		return 0
+	}
+	n := 0
+	for _, p := range e.interference.Pairs(time.Now()) {
+		if p.Interferes {
+			n++
+		}
+	}
+	return n
+}
