--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -31,7 +31,6 @@
 
 	"radishweir.org/lib/delegator"
 	"radishweir.org/lib/packer"
-	"radishweir.org/lib/predictor"
 	"radishweir.org/lib/throttler"
 	"radishweir.org/lib/wire"
 )
@@ -93,8 +92,6 @@
 	// Interference returns by how much the slowness of an upstream counts more for a task of
 	// a kind, with the given numbers of runs by kind there; nil if that is not measured.
 	Interference func(kind string, beside map[string]uint32) float64
-	// Predictor learns run times by kind; nil to rely on the declared ones.
-	Predictor *predictor.Predictor
 	// TightPacking chooses upstreams by the capacity that stays unused while capacity is
 	// short.
 	TightPacking bool
@@ -246,7 +243,6 @@
 			c.mu.Unlock()
 			return Answer{State: Expired, Reason: "an earlier attempt may still run"}
 		}
-		c.expectLearnedTimes(&in)
 		j = newJob(in, earlier.lastRun)
 		c.updateFit(j)
 		if !j.fitsUpstreams() {
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -14,11 +14,8 @@
 	Tasks int
 	// Need is the capacity that each task reserves.
 	Need packer.Amount
-	// Expected is the declared run time of a task, or what was learned of it; it may be far
-	// off.
+	// Expected is the declared run time of a task; it may be far off.
 	Expected time.Duration
-	// Declared is the declared run time if Expected was learned; zero otherwise.
-	Declared time.Duration
 	// After lists earlier steps whose tasks must all be done first.
 	After []int
 	// Label is a label that the upstream must have; empty for none.
@@ -58,8 +55,6 @@
 	Arrived time.Time
 	// Due is the time up to which an answer counts as in time.
 	Due time.Time
-	// Stretch is the factor of the run time in the time from Arrived to Due.
-	Stretch float64
 	// Deadline is the time after which the caller no longer waits. Kept jobs have
 	// none.
 	Deadline time.Time
@@ -169,8 +164,6 @@
 	// run is the number of the last run; before the first run it is the number
 	// below that of the first run.
 	run uint64
-	// placedAt is the time of the last run request.
-	placedAt time.Time
 	upstream string
 	owner    string
 	// ownedAt is when the owner became known as the one of the run.
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -374,7 +374,7 @@
 func (c *Coordinator) placeOn(t *task, s *upstreamState, now time.Time) []message {
 	j, st := t.job, t.step()
 	t.run++
-	t.upstream, t.owner, t.ownedAt, t.placed, t.placedAt = s.Name, s.owner, now, true, now
+	t.upstream, t.owner, t.ownedAt, t.placed = s.Name, s.owner, now, true
 	t.incarnation, t.reserved = s.latestIncarnation(), st.Need
 	if t.isolated {
 		t.reserved = s.Capacity
@@ -485,7 +485,6 @@
 	switch e.GetCause() {
 	case wire.RunEnd_done:
 		j.ran = true
-		c.observeRunTime(t)
 		j.markDone(t)
 		c.reportTaskEnd(t, e)
 		if j.done == len(j.tasks) {
--- a/lib/runner/interference.go
+++ b/lib/runner/interference.go
@@ -80,13 +80,13 @@
 	}
 	beside := h.tracker.End(k.task, now)
 	q := r.request
-	if !done || beside == nil || r.withdrawn == nil || q.GetExpectedMs() <= 0 || q.GetKind() == "" {
+	if !done || beside == nil || r.slowness <= 0 || q.GetExpectedMs() <= 0 || q.GetKind() == "" {
 		return 1
 	}
 	job, _, _ := strings.Cut(k.task, ".")
-	ratio := float64(now.Sub(r.startedAt).Microseconds()) / 1000 / q.GetExpectedMs() / h.slowness
+	ratio := float64(now.Sub(r.startedAt).Microseconds()) / 1000 / q.GetExpectedMs() / r.slowness
 	in.observe(now, separator.Run{
-		Kind: q.GetKind(), Ratio: ratio, Beside: beside, Slowness: h.slowness, Job: job, Upstream: h.upstream.Name,
+		Kind: q.GetKind(), Ratio: ratio, Beside: beside, Slowness: r.slowness, Job: job, Upstream: h.upstream.Name,
 	})
 	return 1 / in.separator.Slowdown(q.GetKind(), beside)
 }
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -44,7 +44,9 @@
 	// detachedAt is when the connection to the requester was lost; zero if the
 	// requester has asked for the run since.
 	detachedAt time.Time
-	stopping   bool
+	// slowness is that of the upstream when this owner started the run.
+	slowness float64
+	stopping bool
 	// stopFenced is true if the stop waits for a newer fencing token.
 	stopFenced bool
 	// stopDeadline is when a run that is to be stopped counts as one that cannot be.
@@ -256,7 +258,7 @@
 		return
 	}
 	now, withdrawn := time.Now(), make(chan struct{})
-	h.runs[k] = &run{request: q, requester: requester, amount: amount, startedAt: now, withdrawn: withdrawn}
+	h.runs[k] = &run{request: q, requester: requester, amount: amount, startedAt: now, slowness: h.slowness, withdrawn: withdrawn}
 	h.trackStart(k, q, now)
 	h.free = h.free.Minus(amount)
 	o := Order{Task: k.task, Run: k.run, Spec: q.GetSpec(), Token: h.token, Expires: h.extendLease(now), Withdrawn: withdrawn}
--- a/radishweir/internal/composer/separation.go
+++ b/radishweir/internal/composer/separation.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"radishweir.org/lib/predictor"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/separator"
 	"radishweir.org/lib/wire"
@@ -17,9 +16,6 @@
 // buildSeparation makes the runner measure which kinds of tasks slow each other down, and
 // the coordinator keep them apart where there is room.
 func (e *Entry) buildSeparation() {
-	if e.LearnedRunTimes {
-		e.coordinator.Predictor = &predictor.Predictor{}
-	}
 	if !e.Separation {
 		return
 	}
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -29,8 +29,6 @@
 	CongestionControl bool   `toml:"congestion_control"`
 	Delegation        bool   `toml:"delegation"`
 	TightPacking      bool   `toml:"tight_packing"`
-	Priorities        bool   `toml:"priorities"`
-	LearnedRunTimes   bool   `toml:"learned_run_times"`
 	Separation        bool   `toml:"separation"`
 	OverloadControl   bool   `toml:"overload_control"`
 	BalancerWait      string `toml:"balancer_wait"`
@@ -56,8 +54,6 @@
 		{Key: "congestion_control", Value: &s.CongestionControl, Default: false},
 		{Key: "delegation", Value: &s.Delegation, Default: false},
 		{Key: "tight_packing", Value: &s.TightPacking, Default: false},
-		{Key: "priorities", Value: &s.Priorities, Default: false},
-		{Key: "learned_run_times", Value: &s.LearnedRunTimes, Default: false},
 		{Key: "separation", Value: &s.Separation, Default: false},
 		{Key: "overload_control", Value: &s.OverloadControl, Default: false},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.DurationRange(0, time.Minute)},
