Delegate at once while this entry refuses jobs

A job was kept until it had waited half of its slack, and the most urgent ones then had too little left for another entry. While an entry refuses jobs, it expects the same for those that wait. The line job_ended names the peers that refused a delegated job.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -368,7 +368,7 @@
 	line.Str("job", j.ID).Str("kind", j.Kind).Stringer("state", a.State).Str("reason", a.Reason).
 		Int64("after_ms", now.Sub(j.Arrived).Milliseconds()).Int64("late_ms", late.Milliseconds()).
 		Int64("first_start_ms", sinceOrNever(j.firstPlacedAt, j.Arrived)).Int64("last_start_ms", sinceOrNever(j.lastPlacedAt, j.Arrived)).
-		Int("placed_at_once", j.placedAtOnce).Int("rejected", j.rejected).
+		Int("placed_at_once", j.placedAtOnce).Int("rejected", j.rejected).Strs("refused_by", j.refusedBy).
 		Int("tasks", len(j.tasks)).Int("done", j.done).Int("placed", j.placed).Bool("begun", j.started).
 		Strs("missed_at", j.failedOrActiveUpstreams()).Int("waiting", len(c.waiting)).
 		Int("upstreams_usable", usable).Int("peers_up", peers).Msg("job_ended")
--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -25,6 +25,9 @@
 	// of startDelayAt.
 	startDelay   time.Duration
 	startDelayAt time.Time
+	// refusedAt is the last time at which a job was refused because it would start too
+	// late.
+	refusedAt time.Time
 	// shortAt is the last time at which a waiting job found no capacity.
 	shortAt time.Time
 	// delegateList are the peers that may take jobs as of delegateListAt, the time of a pass.
@@ -136,6 +139,17 @@
 	return message{owner: peer, add: func(f *wire.PeerFrame) { f.Delegated = append(f.Delegated, add) }}, true
 }
 
+// waitHere returns the expected time until a waiting job starts at this entry, which is
+// estimated from the work ahead of it. The caller holds the lock.
+func (c *Coordinator) waitHere(j *job, slack, estimated time.Duration, now time.Time) time.Duration {
+	if now.Sub(c.refusedAt) < shortageMemory {
+		// Others that waited like this job were refused.
+		return slack + startMargin
+	}
+	// A job that has waited is expected to wait as long again.
+	return max(estimated, now.Sub(j.Arrived))
+}
+
 // delegates returns the peers that may take jobs, collected once in a pass; the caller
 // holds the lock.
 func (c *Coordinator) delegates(now time.Time) []delegator.Peer {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -193,6 +193,7 @@
 			remaining = lateKeptRemaining
 		}
 		if remaining < c.shortestTimeToEnd(j) {
+			c.refusedAt = now
 			out = append(out, c.close(j, Answer{
 				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(c.backlog()),
 			})...)
@@ -210,13 +211,13 @@
 			ahead += workOf(&j.Job)
 			wait := time.Duration(ahead / rate * float64(time.Second))
 			c.shortAt = now
-			// A job that has waited is expected to wait as long again.
-			if m, ok := c.delegate(j, slack, max(wait, now.Sub(j.Arrived)), now); ok {
+			if m, ok := c.delegate(j, slack, c.waitHere(j, slack, wait, now), now); ok {
 				ahead -= workOf(&j.Job)
 				out = append(out, m)
 				continue
 			}
 			if !j.kept() && wait.Seconds() > maxWaitRatio*(remaining-c.shortestTimeToEnd(j)).Seconds() {
+				c.refusedAt = now
 				out = append(out, c.close(j, Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)})...)
 			}
 			continue
