Remember the answers of jobs that a peer has run

A caller that lost the answer to a delegated job and submitted it again made it run a second time: only jobs with a run number were remembered, and those are given where the job runs. The ledger is no help, as it forgets a job with its answer. Answers that are complete or failed are now remembered always. Without delegation such jobs have run numbers, so nothing changes there.

Result: TestResubmissionOfDelegatedJobThatIsComplete failed before (the resubmission was open with a run request) and passes.

--- a/lib/coordinator/answered.go
+++ b/lib/coordinator/answered.go
@@ -20,8 +20,8 @@
 }
 
 // rememberAnswer stores the answer and the highest run number of a job in case it
-// is submitted again. Jobs whose tasks were never placed are not stored, nor any
-// beyond maxAnswered. The caller holds the lock.
+// is submitted again. Jobs whose tasks were never placed are not stored unless a peer ran
+// them to their end, nor any beyond maxAnswered. The caller holds the lock.
 func (c *Coordinator) rememberAnswer(j *job, a Answer) {
 	now := time.Now()
 	c.purgeAnswered(now)
@@ -29,7 +29,7 @@
 	for _, t := range j.tasks {
 		p.lastRun = max(p.lastRun, t.run)
 	}
-	if p.lastRun > 0 && len(c.answered) < maxAnswered {
+	if (p.lastRun > 0 || a.State == Complete || a.State == Failed) && len(c.answered) < maxAnswered {
 		c.answered[j.ID] = p
 	}
 }
--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -331,3 +331,18 @@
 		}
 	})
 }
+
+// Guards against a second run of a job that a peer has completed, when its caller lost
+// the answer and submits it again.
+func TestResubmissionOfDelegatedJobThatIsComplete(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		s.begin(ctx, linkedJob("a"))
+		peer, numbers, _ := s.delegated("a")
+		s.DelegateAnswered(peer, "a", numbers[0], coordinator.Answer{State: coordinator.Complete})
+		s.setFree(16000)
+		if a := answerNow(s.begin(ctx, linkedJob("a"))); a.State != coordinator.Complete || len(s.runRequests()) != 0 {
+			t.Errorf("the resubmission ended as %v with %d run requests, want complete and none", a.State, len(s.runRequests()))
+		}
+	})
+}
