Run no delegated job of a peer that is down

A frame may be processed after the end of its connection was, up to the age at which frames with jobs are dropped. The peer has answered the caller by then, and the caller submits the job again. The job was run all the same until its own deadline, as no further end of the connection cancelled it, so a task could run at both entries. It also kept its number, so that a delegation with this number after a restart of the peer got no answer. Run requests in such frames are withdrawn already. Such a job is now refused before it is submitted; the order of record and check leaves no gap to Down.

Result: TestDelegatedJobOfPeerThatIsDown failed before (the task ran) and passes.

--- a/radishweir/internal/composer/delegation.go
+++ b/radishweir/internal/composer/delegation.go
@@ -73,6 +73,14 @@
 	if d == nil {
 		return
 	}
+	if _, down := e.down.Load(peer); down {
+		// The peer has given the job up, and no further end of the connection would cancel it.
+		if e.received.end(d) {
+			refusal.Reason = "the entries are not connected"
+			e.answerPeer(peer, m.GetJob(), m.GetNumber(), refusal)
+		}
+		return
+	}
 	j.Delegated = true
 	go func() {
 		a := e.coordinator.Submit(ctx, j)
