Leave the time at other entries out of the told wait

An entry told its peers the mean time from the arrival of jobs to their start. Delegated jobs arrived at another entry and have waited there, often for more than the 50 ms above which an entry accepts none, so a few of them made an idle entry refuse jobs for half a second or longer. The clocks play no part, as ages are sent. The time of a delegated job now counts from its receipt; for others nothing changes.

Result: TestWaitElsewhereIsNotTold failed before (100 ms, accepts none) and passes.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -242,6 +242,7 @@
 			return Answer{State: Expired, Reason: "an earlier attempt may still run"}
 		}
 		j = newJob(in, earlier.lastRun)
+		j.receivedAt = time.Now()
 		c.updateFit(j)
 		if !j.fitsUpstreams() {
 			defer c.mu.Unlock()
--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -36,6 +36,8 @@
 type delegation struct {
 	// delegate is the entry that runs the job, empty while this entry does.
 	delegate string
+	// receivedAt is the time at which this entry got the job.
+	receivedAt time.Time
 	// refusedBy are the peers that refused the job.
 	refusedBy []string
 }
@@ -83,10 +85,13 @@
 // burst within some ten jobs.
 const startDelayShare = 0.1
 
-// countStartDelay adds a job that begins now to the mean time to a start; the caller
-// holds the lock.
+// countStartDelay adds a job that begins now to the mean time to a start. The time that a
+// delegated job spent at another entry says nothing of this one. The caller holds the lock.
 func (c *Coordinator) countStartDelay(j *job, now time.Time) {
 	delay := now.Sub(j.Arrived)
+	if j.Delegated {
+		delay = now.Sub(j.receivedAt)
+	}
 	if now.Sub(c.startDelayAt) >= shortageMemory {
 		c.startDelay = delay
 	}
--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -346,3 +346,17 @@
 		}
 	})
 }
+
+// Guards against an entry that stops accepting jobs because those that it gets have waited
+// elsewhere.
+func TestWaitElsewhereIsNotTold(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 16000)
+		j := linkedJob("a")
+		j.Delegated, j.Arrived = true, j.Arrived.Add(-100*time.Millisecond)
+		s.begin(ctx, j)
+		if l := s.Load(time.Now(), false); len(s.runRequests()) != 1 || l.Wait > 10*time.Millisecond || !l.Accepts {
+			t.Errorf("after %d run requests the entry tells a wait of %v, and accepts: %v", len(s.runRequests()), l.Wait, l.Accepts)
+		}
+	})
+}
