Dial again after a connection between entries broke under a call

Cause: when QUIC closes a connection, its streams fail before its context ends, and connect judges a connection by the context. A submission that may have arrived is sent once more at once; it could get the broken connection again, fail there, and end as may_have_run, although the home is up and would have found the job. A new call at that moment was refused as not_run.

Ruled out: a dial that takes too long, for the calls of the test: its server listens all the time, and the errors are those of the broken connection.

Change: a call whose stream fails with an error of the connection makes the next call dial. A call whose stream cannot be opened for that reason, so that nothing was sent, dials once itself.

--- a/lib/entry/client.go
+++ b/lib/entry/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -38,27 +39,59 @@
 	if err != nil {
 		return nil, classifier.Wrap(classifier.NotRun, err, "the request cannot be encoded")
 	}
-	conn, err := c.connect(ctx, p)
+	conn, st, err := c.openStream(ctx, p)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.NotRun, err, "the entry cannot be reached")
 	}
-	st, err := conn.OpenStreamSync(ctx)
+	defer context.AfterFunc(ctx, func() { resetStream(st) })()
+	r, err := exchange(st, data)
 	if err != nil {
-		return nil, classifier.Wrap(classifier.NotRun, err, "the entry cannot be reached")
+		c.forgetBroken(p, conn, err)
+		return nil, classifier.Wrap(callVerdict(err), err, "the entry fell silent")
 	}
-	defer context.AfterFunc(ctx, func() { resetStream(st) })()
+	return r, nil
+}
+
+// exchange writes a request to st and reads the reply.
+func exchange(st *quic.Stream, data []byte) (*wire.Reply, error) {
 	if _, err := st.Write(data); err != nil {
 		resetStream(st)
-		return nil, classifier.Wrap(callVerdict(err), err, "the entry fell silent")
+		return nil, err
 	}
 	if err := st.Close(); err != nil {
-		return nil, classifier.Wrap(callVerdict(err), err, "the entry fell silent")
+		return nil, err
 	}
 	r := &wire.Reply{}
-	if err := readMessage(st, r); err != nil {
-		return nil, classifier.Wrap(callVerdict(err), err, "the entry fell silent")
+	return r, readMessage(st, r)
+}
+
+// openStream opens a stream to p. It tries a second connection if the first one breaks
+// before anything was sent.
+func (c *Client) openStream(ctx context.Context, p Peer) (*quic.Conn, *quic.Stream, error) {
+	for again := false; ; again = true {
+		conn, err := c.connect(ctx, p)
+		if err != nil {
+			return nil, nil, err
+		}
+		st, err := conn.OpenStreamSync(ctx)
+		if err == nil {
+			return conn, st, nil
+		}
+		if broken := c.forgetBroken(p, conn, err); again || !broken {
+			return nil, nil, err
+		}
 	}
-	return r, nil
+}
+
+// forgetBroken makes the next call dial if err, the error of a stream, says that its
+// connection broke. The context of a connection, which connect checks, ends only after
+// its streams have failed.
+func (c *Client) forgetBroken(p Peer, conn *quic.Conn, err error) bool {
+	broken := errors.Is(err, net.ErrClosed)
+	if broken {
+		c.link(p).forget(conn)
+	}
+	return broken
 }
 
 // callVerdict returns NotRun if the peer reset the stream with codeNotProcessed,
