Tell peers how long waiting jobs have waited instead of the backlog

One waiting job of many core-seconds made an entry tell a wait above the limit at which it takes delegated jobs, and kept it closed for half a second.

--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -84,13 +84,28 @@
 	if now.Sub(c.startDelayAt) < shortageMemory {
 		l.Wait = c.startDelay
 	}
-	if len(c.waiting) > 0 {
-		l.Wait = max(l.Wait, c.backlog())
-	}
+	l.Wait = max(l.Wait, c.meanWait(now))
 	l.Accepts = !draining && c.Delegation.Accepts(l, now)
 	return l
 }
 
+// meanWait returns the mean time that the waiting jobs have waited here. The backlog is no
+// measure of the wait: a single job of a second of work on many cores would count as one of
+// tenths of a second. The caller holds the lock.
+func (c *Coordinator) meanWait(now time.Time) time.Duration {
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, j := range c.waiting {
+		if !j.kept() {
+			sum += now.Sub(j.receivedAt)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
 // startDelayShare is the weight of one job in the mean time to a start; the mean follows a
 // burst within some ten jobs.
 const startDelayShare = 0.1
