--- a/lib/throttler/throttler.go
+++ b/lib/throttler/throttler.go
@@ -32,7 +32,7 @@
 	minSent = 5
 	// gain is the margin, as a share of the capacity, that a share of rejections of 1 above
 	// the target would bring.
-	gain = 0.25
+	gain = 0.2
 	// maxMargin bounds the capacity that is left free.
 	maxMargin = 0.25
 )
