Name the key in the error of a setting of the wrong type

The line told the Go type of the field ("cannot decode TOML string into struct field composer.Settings.Delegation of type bool").

--- a/lib/loader/loader.go
+++ b/lib/loader/loader.go
@@ -98,6 +98,10 @@
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		row, _ := de.Position()
+		if key := strings.Join(de.Key(), "."); key != "" && strings.Contains(de.Error(), "cannot decode") {
+			// The library's text names the types of this program.
+			return "line " + itoa(row) + ": key " + key + ": the value has the wrong type"
+		}
 		return "line " + itoa(row) + ": " + de.Error()
 	}
 	return err.Error()
