Take the image of a step as the kind whose interference is measured

Tasks of the same image behave alike, whatever their queue. Jobs without images are measured by queue as before.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -143,7 +143,7 @@
 		}
 		if c.Interference != nil {
 			// Only the order depends on it: a job is never refused for what runs beside it.
-			slowness *= c.Interference(j.Kind, s.kinds)
+			slowness *= c.Interference(j.taskKind(step), s.kinds)
 		}
 		a := packer.Candidate{Name: s.Name, Free: s.available(), Slowness: slowness, Own: s.owner == c.Self, SameDomain: s.Domain == c.Domain, Rank: c.rank(s)}
 		if c.TightPacking {
--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -23,6 +24,8 @@
 	// Data is the label of the upstreams near the step's data; on others its tasks
 	// take longer. Empty for none.
 	Data string
+	// Image names what the tasks run; tasks of one image behave alike. Empty if unknown.
+	Image string
 	// MaxPerUpstream limits the tasks of the step that run on one upstream at
 	// the same time; 0 for no limit.
 	MaxPerUpstream int
@@ -286,6 +289,10 @@
 	j.remaining[t.stepIndex]--
 }
 
+// taskKind returns the kind of the tasks of a step for the measurement of interference:
+// their image, or the queue if the image is unknown.
+func (j *job) taskKind(step int) string { return cmp.Or(j.Steps[step].Image, j.Kind) }
+
 // ready reports whether all steps that a step depends on are done.
 func (j *job) ready(step int) bool {
 	for _, s := range j.Steps[step].After {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -419,7 +419,7 @@
 		ExpectedMs: float64(c.expectedOn(st, s).Microseconds()) / 1000, Attach: attach, Holder: j.Holder,
 	}
 	if c.Interference != nil {
-		q.Kind = j.Kind
+		q.Kind = j.taskKind(t.stepIndex)
 	}
 	if !attach {
 		q.Spec = j.Spec
