Keep a waiting job here once a peer has delegated it to this entry

A caller may submit a job here that it submitted at another entry before. If that entry delegates it to this one, both share one open job, which was the caller's own and could be handed on: a chain, of which the first entry does not know, and which may lead back to it. Submissions at entries that know nothing of each other can't be told apart otherwise. The open job now counts as delegated.

Result: TestJobThatIsDelegatedHereTooStays failed before (one delegation) and passes.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -251,6 +251,8 @@
 		c.jobs[j.ID] = j
 		c.enqueue(j)
 	}
+	// A job that a peer delegated to this entry too is not handed on.
+	j.Delegated = j.Delegated || in.Delegated
 	j.addCaller(in.CallerGone)
 	c.mu.Unlock()
 	c.Wake()
--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -360,3 +360,22 @@
 		}
 	})
 }
+
+// Guards against a chain of delegations by way of a job that a caller submitted here
+// before a peer delegated it.
+func TestJobThatIsDelegatedHereTooStays(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		j := linkedJob("a")
+		j.Steps[0].Expected = 20 * time.Millisecond
+		s.begin(ctx, j)
+		j.Delegated = true
+		s.begin(ctx, j)
+		time.Sleep(120 * time.Millisecond)
+		s.Wake()
+		time.Sleep(10 * time.Millisecond)
+		if _, numbers, _ := s.delegated("a"); len(numbers) != 0 {
+			t.Errorf("%d delegations, want none", len(numbers))
+		}
+	})
+}
