Leave time for the last answer to a peer when an entry drains

An entry that drained ended as soon as no delegated job was open, and the answer to the last one was lost if the next frame had not been written by then: its caller got 504 for a job that is complete. The job is counted until its answer, but the writer of frames works on its own and can't be waited for.

--- a/radishweir/internal/composer/delegation_test.go
+++ b/radishweir/internal/composer/delegation_test.go
@@ -36,3 +36,20 @@
 		}
 	})
 }
+
+// Guards against a drained entry that ends before its last answer to a peer was sent.
+func TestDrainLeavesTimeForLastAnswer(t *testing.T) {
+	withOwner(t, func(t *testing.T, e *Entry, _ *simulator.Fleet) {
+		e.Delegation = true
+		_, d := e.received.add(e.ctx, "entry-2", &wire.DelegatedJob{Job: "a", Number: 1})
+		var answered time.Time
+		time.AfterFunc(2*drainInterval-time.Millisecond, func() {
+			answered = time.Now()
+			e.received.end(d)
+		})
+		e.drainRuns(e.ctx)
+		if after := time.Since(answered); answered.IsZero() || after < drainInterval/2 {
+			t.Errorf("drained %v after the last answer", after)
+		}
+	})
+}
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -36,7 +36,16 @@
 		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
 	}
 	e.drainKeptJobs(ctx)
+	e.drainRuns(ctx)
+}
+
+// drainRuns waits for the runs of other entries and the jobs that they delegated.
+func (e *Entry) drainRuns(ctx context.Context) {
 	for ctx.Err() == nil && e.runner.RunCount()+e.received.open() > 0 {
 		time.Sleep(drainInterval)
 	}
+	if e.Delegation {
+		// The answer to the last job may still wait for the frame that carries it.
+		time.Sleep(drainInterval)
+	}
 }
