Consider delegation in time at an entry without other events

A waiting job is delegated once it has waited for half of the time that is left for its start, but the next timed pass came only at the latest start, when no peer can take it. An entry with few events refused such jobs although peers accepted them. Busy entries have a pass every few milliseconds and were not affected. The time of the next pass now covers that moment if the policy is enabled and the job may be delegated.

--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -134,6 +134,12 @@
 	return message{owner: peer, add: func(f *wire.PeerFrame) { f.Delegated = append(f.Delegated, add) }}, true
 }
 
+// delegateAt returns the time from which a waiting job, which is expected to wait as long
+// again as it has waited, is expected to start after the latest time that is in time.
+func delegateAt(j *job, latest time.Time) time.Time {
+	return j.Arrived.Add(latest.Sub(j.Arrived)/2 + minPassDelay)
+}
+
 // delegates returns the peers that may take jobs, collected once in a pass; the caller
 // holds the lock.
 func (c *Coordinator) delegates(now time.Time) []delegator.Peer {
--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -379,3 +379,18 @@
 		}
 	})
 }
+
+// Guards against a job that is refused although a peer accepts jobs, as the entry had no
+// other event while the job could still be delegated.
+func TestQuietEntryDelegatesInTime(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		j := linkedJob("a")
+		j.Steps[0].Expected = 20 * time.Millisecond
+		got := s.begin(ctx, j)
+		time.Sleep(300 * time.Millisecond)
+		if _, numbers, _ := s.delegated("a"); len(numbers) != 1 {
+			t.Errorf("%d delegations, want 1; ended as %v", len(numbers), answerNow(got).State)
+		}
+	})
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -538,14 +538,18 @@
 }
 
 // untilNextPass returns the time until the next pass is due: a waiting job becomes
-// too late, a caller's deadline passes, or the runs at a silent peer are over.
+// too late or is expected to, a caller's deadline passes, or the runs at a silent peer are over.
 func (c *Coordinator) untilNextPass(now time.Time) time.Duration {
 	next := now.Add(maxPassInterval)
 	for _, j := range c.waiting {
 		if j.kept() {
 			continue
 		}
-		if at := j.effectiveDue().Add(-startMargin - c.shortestTimeToEnd(j)); at.Before(next) {
+		latest := j.effectiveDue().Add(-startMargin - c.shortestTimeToEnd(j))
+		if latest.Before(next) {
+			next = latest
+		}
+		if at := delegateAt(j, latest); c.Delegation.Enabled && j.delegable() && at.After(now) && at.Before(next) {
 			next = at
 		}
 	}
