Go on with a job that could not be sent to its peer

A peer may go down between the choice and the sending. The job was answered as one that may have run, like those that are at the peer, although it had not left this entry. It is now treated as refused by that peer: another one may be tried, or the job starts or is refused here. If the end of the connection was handled first the job is answered as before, as the order of the two is not known.

Result: TestJobThatCannotBeSentStays failed before (expired) and passes.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -162,13 +162,16 @@
 
 // message is a message for the owner of an upstream: a run request, a
 // cancellation, or a release, which says that the end of a run is stored; or with add
-// one for another entry about a delegated job. Exactly one of the last four is set.
+// one for another entry about a delegated job, which delegated holds if it is handed on.
+// Exactly one of request, cancel, release and add is set.
 type message struct {
 	owner   string
 	request *wire.RunRequest
 	cancel  *wire.RunCancel
 	release *wire.RunSafe
 	add     func(f *wire.PeerFrame)
+
+	delegated *wire.DelegatedJob
 }
 
 // Init prepares the coordinator; it is called once before any other method.
@@ -422,7 +425,7 @@
 		switch {
 		case m.add != nil:
 			if !c.Remote.Send(m.owner, m.add) {
-				c.delegateUnreachable(m.owner)
+				c.delegateUnreachable(m.owner, m.delegated)
 			}
 		case m.release != nil && m.owner == c.Self:
 			c.Local.Safe(m.release)
--- a/lib/coordinator/delegation.go
+++ b/lib/coordinator/delegation.go
@@ -131,7 +131,7 @@
 	c.removeWaiting(j)
 	c.countOpen(peer, 1)
 	c.countDelegation("sent_for_" + reason.String())
-	return message{owner: peer, add: func(f *wire.PeerFrame) { f.Delegated = append(f.Delegated, add) }}, true
+	return message{owner: peer, delegated: add, add: func(f *wire.PeerFrame) { f.Delegated = append(f.Delegated, add) }}, true
 }
 
 // delegateAt returns the time from which a waiting job, which is expected to wait as long
@@ -222,8 +222,12 @@
 	return out
 }
 
-// delegateUnreachable ends the jobs at a peer to which no message can be sent.
-func (c *Coordinator) delegateUnreachable(peer string) {
+// delegateUnreachable ends the jobs at a peer to which no message can be sent. The job
+// whose message that is, nil if it is none of a job, has not left this entry and goes on.
+func (c *Coordinator) delegateUnreachable(peer string, unsent *wire.DelegatedJob) {
+	if unsent != nil {
+		c.DelegateAnswered(peer, unsent.GetJob(), unsent.GetNumber(), Answer{State: Refused})
+	}
 	c.mu.Lock()
 	c.enqueueMessages(c.endDelegationsTo(peer))
 	c.mu.Unlock()
--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -28,6 +28,8 @@
 	frames   map[string]*wire.PeerFrame
 	// sent is called for each job that is delegated; nil for none.
 	sent func(peer string, m *wire.DelegatedJob)
+	// unreachable is true if no message can be sent.
+	unreachable bool
 }
 
 func (s *linkedEntry) Request(_ context.Context, _ string, q *wire.RunRequest) {
@@ -43,6 +45,9 @@
 func (s *linkedEntry) Send(peer string, add func(f *wire.PeerFrame)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreachable {
+		return false
+	}
 	f := s.frames[peer]
 	if f == nil {
 		f = &wire.PeerFrame{}
@@ -394,3 +399,17 @@
 		}
 	})
 }
+
+// Guards against an answer that the job may have run if it was never sent, as its peer
+// went down in between: it is still waiting here.
+func TestJobThatCannotBeSentStays(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		s.mu.Lock()
+		s.unreachable = true
+		s.mu.Unlock()
+		if a := answerNow(s.begin(ctx, linkedJob("a"))); a.State != coordinator.Refused || a.RetryAfter <= 0 {
+			t.Errorf("ended as %v, want refused", a.State)
+		}
+	})
+}
