--- a/lib/coordinator/delegation_test.go
+++ b/lib/coordinator/delegation_test.go
@@ -28,6 +28,8 @@
 	frames   map[string]*wire.PeerFrame
 	// sent is called for each job that is delegated; nil for none.
 	sent func(peer string, m *wire.DelegatedJob)
+	// unreachable is true if no message can be sent.
+	unreachable bool
 }
 
 func (s *linkedEntry) Request(_ context.Context, _ string, q *wire.RunRequest) {
@@ -43,6 +45,9 @@
 func (s *linkedEntry) Send(peer string, add func(f *wire.PeerFrame)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreachable {
+		return false
+	}
 	f := s.frames[peer]
 	if f == nil {
 		f = &wire.PeerFrame{}
@@ -360,3 +365,51 @@
 		}
 	})
 }
+
+// Guards against a chain of delegations by way of a job that a caller submitted here
+// before a peer delegated it.
+func TestJobThatIsDelegatedHereTooStays(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		j := linkedJob("a")
+		j.Steps[0].Expected = 20 * time.Millisecond
+		s.begin(ctx, j)
+		j.Delegated = true
+		s.begin(ctx, j)
+		time.Sleep(120 * time.Millisecond)
+		s.Wake()
+		time.Sleep(10 * time.Millisecond)
+		if _, numbers, _ := s.delegated("a"); len(numbers) != 0 {
+			t.Errorf("%d delegations, want none", len(numbers))
+		}
+	})
+}
+
+// Guards against a job that is refused although a peer accepts jobs, as the entry had no
+// other event while the job could still be delegated.
+func TestQuietEntryDelegatesInTime(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		j := linkedJob("a")
+		j.Steps[0].Expected = 20 * time.Millisecond
+		got := s.begin(ctx, j)
+		time.Sleep(300 * time.Millisecond)
+		if _, numbers, _ := s.delegated("a"); len(numbers) != 1 {
+			t.Errorf("%d delegations, want 1; ended as %v", len(numbers), answerNow(got).State)
+		}
+	})
+}
+
+// Guards against an answer that the job may have run if it was never sent, as its peer
+// went down in between: it is still waiting here.
+func TestJobThatCannotBeSentStays(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newLinkedEntry(ctx, true, 0)
+		s.mu.Lock()
+		s.unreachable = true
+		s.mu.Unlock()
+		if a := answerNow(s.begin(ctx, linkedJob("a"))); a.State != coordinator.Refused || a.RetryAfter <= 0 {
+			t.Errorf("ended as %v, want refused", a.State)
+		}
+	})
+}
