Bound the age of delegated jobs, count only usable places, and follow a store that went back

An age of weeks in a message made the arrivals of a kind infinite. The margin counted places on upstreams that leave or are evacuated. After the store went back to an earlier state, the evacuator ignored its events until they passed the highest revision seen before. Result: TestRegressedStoreEndsNoEvacuation and the malformed ages fail without the changes.

--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -250,7 +250,7 @@
 	if v == nil {
 		return false
 	}
-	free, total := v.places(j.Steps[0].Need)
+	free, total := c.places(v, j.Steps[0].Need)
 	return float64(free-tasks) < margin*float64(total)
 }
 
--- a/lib/coordinator/snapshot.go
+++ b/lib/coordinator/snapshot.go
@@ -159,11 +159,11 @@
 	return time.Duration(float64(j.expectedRemaining()) * best)
 }
 
-// places returns how many tasks of the given need fit the free capacity of the near
+// places returns how many tasks of the given need fit the free capacity of the usable near
 // upstreams, and how many fit their whole capacity.
-func (v *snapshot) places(need packer.Amount) (free, total int) {
+func (c *Coordinator) places(v *snapshot, need packer.Amount) (free, total int) {
 	for _, s := range v.nearUpstreams {
-		if !s.stateKnown || !s.usable {
+		if !c.usable(s) {
 			continue
 		}
 		free += s.available().Copies(need, maxCopies)
--- a/lib/coordinator/throttle_test.go
+++ b/lib/coordinator/throttle_test.go
@@ -11,12 +11,12 @@
 // newThrottled returns a coordinator of which all recent run requests were rejected, and
 // which has the given number of free places among 20.
 func newThrottled(enabled bool, free int, now time.Time) *Coordinator {
-	c := &Coordinator{Throttle: throttler.Throttler{Enabled: enabled}, kinds: make(map[string]*kindStats)}
+	c := &Coordinator{Self: "entry-1", Throttle: throttler.Throttler{Enabled: enabled}, kinds: make(map[string]*kindStats)}
 	c.Throttle.Sent(now, 100)
 	c.Throttle.Rejected(now, 100)
 	v := &snapshot{}
 	for i := range 20 {
-		s := &upstreamState{stateKnown: true, usable: true}
+		s := &upstreamState{owner: "entry-1", stateKnown: true, usable: true}
 		s.Capacity = packer.Amount{CPU: 1000}
 		if i < free {
 			s.free = s.Capacity
--- a/lib/delegator/codec/codec.go
+++ b/lib/delegator/codec/codec.go
@@ -46,6 +46,9 @@
 	maxAmount = 1 << 40
 	// maxExpected bounds the declared run time of a task in milliseconds: one day.
 	maxExpected = 24 * 60 * 60 * 1000
+	// maxAge bounds the time in milliseconds since a job arrived: an hour, far longer than any
+	// caller waits. The statistics of arrivals count from that time.
+	maxAge = 60 * 60 * 1000
 	// maxRetryAfter bounds the time after which a refused caller may retry; entries ask
 	// for at most 12 s.
 	maxRetryAfter = time.Minute
@@ -139,6 +142,8 @@
 		return invalid("the specification is too long or no text")
 	case m.GetMaxFailures() > maxCount || m.GetPriority() > maxCount:
 		return invalid("a count is out of range")
+	case m.GetAgeMs() > maxAge:
+		return invalid("the age is out of range")
 	case len(m.GetSteps()) == 0 || len(m.GetSteps()) > maxTasks:
 		return invalid("no steps or too many")
 	}
--- a/lib/delegator/codec/codec_test.go
+++ b/lib/delegator/codec/codec_test.go
@@ -78,6 +78,7 @@
 		func(m *wire.DelegatedJob) { m.Number = 0 },
 		func(m *wire.DelegatedJob) { m.Kind = strings.Repeat("x", 257) },
 		func(m *wire.DelegatedJob) { m.Priority = math.MaxUint32 },
+		func(m *wire.DelegatedJob) { m.AgeMs = math.MaxUint32 },
 		func(m *wire.DelegatedJob) { m.Steps = nil },
 		func(m *wire.DelegatedJob) { m.Steps[0] = nil },
 		func(m *wire.DelegatedJob) { m.Steps = make([]*wire.KeptStep, 2000) },
--- a/lib/evacuator/evacuator.go
+++ b/lib/evacuator/evacuator.go
@@ -77,18 +77,19 @@
 func (e *Evacuator) Apply(u watcher.Update) {
 	e.mu.Lock()
 	revision, next := e.message().GetRevision(), e.domains()
-	if u.Reset {
+	switch {
+	case u.Reset && u.Regressed:
 		// A store that went back to an earlier state is no proof that a request was
-		// withdrawn.
-		if !u.Regressed && u.Revision >= revision {
-			clear(next)
-			revision = 0
-		}
+		// withdrawn. Its later changes have lower revisions than those seen before.
+		revision = 0
+	case u.Reset && u.Revision >= revision:
+		clear(next)
+		revision = 0
 	}
 	for _, v := range u.Events {
 		domain := strings.TrimPrefix(v.Key, e.Prefix)
 		switch {
-		case v.Revision < revision && !u.Regressed:
+		case v.Revision < revision:
 		case v.Deleted:
 			delete(next, domain)
 		default:
--- a/lib/evacuator/evacuator_test.go
+++ b/lib/evacuator/evacuator_test.go
@@ -85,6 +85,8 @@
 	e.Apply(watcher.Update{Reset: true, Revision: 9, Events: []platform.Event{request("a", 8)}})
 	e.Apply(watcher.Update{Reset: true, Regressed: true, Revision: 3, Events: []platform.Event{request("c", 2)}})
 	e.check(t, "a", "c")
+	e.Apply(watcher.Update{Revision: 4, Events: []platform.Event{withdrawal("c", 4)}})
+	e.check(t, "a")
 }
 
 // An entry that cannot reach the store follows the evacuations that its peers tell it.
