--- a/lib/delegator/codec/codec.go
+++ b/lib/delegator/codec/codec.go
@@ -47,7 +47,7 @@
 	// maxExpected bounds the declared run time of a task in milliseconds: one day.
 	maxExpected = 24 * 60 * 60 * 1000
 	// maxAge bounds the time in milliseconds since a job arrived: an hour, far longer than any
-	// caller waits. The statistics of arrivals count from that time.
+	// caller waits. Statistics of arrivals count from that time.
 	maxAge = 60 * 60 * 1000
 	// maxRetryAfter bounds the time after which a refused caller may retry; entries ask
 	// for at most 12 s.
@@ -113,7 +113,7 @@
 	out := coordinator.Job{
 		ID: m.GetJob(), Kind: m.GetKind(), Service: m.GetService(), Spec: m.GetSpec(),
 		MaxFailures: int(m.GetMaxFailures()), Priority: int(m.GetPriority()),
-		Arrived:  now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		Arrived:  now.Add(-time.Duration(min(m.GetAgeMs(), maxAge)) * time.Millisecond),
 		Due:      now.Add(time.Duration(m.GetDueInMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineInMs()) * time.Millisecond),
 	}
@@ -142,8 +142,6 @@
 		return invalid("the specification is too long or no text")
 	case m.GetMaxFailures() > maxCount || m.GetPriority() > maxCount:
 		return invalid("a count is out of range")
-	case m.GetAgeMs() > maxAge:
-		return invalid("the age is out of range")
 	case len(m.GetSteps()) == 0 || len(m.GetSteps()) > maxTasks:
 		return invalid("no steps or too many")
 	}
