Count sizes once a job, and drop an unused test for shortage

The type and its test go, no other check changes. Sizes were counted for each task, so that one wide job filled a quarter of the ring. Result: tests of packer and coordinator pass.

--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -365,6 +365,9 @@
 // place assigns the first tasks to the chosen upstreams, one each.
 func (c *Coordinator) place(tasks []*task, chosen []string, now time.Time) []message {
 	var out []message
+	if len(chosen) > 0 {
+		c.sizes.Add(tasks[0].step().Need.CPU)
+	}
 	for i, name := range chosen {
 		out = append(out, c.placeOn(tasks[i], c.upstreams[name], now)...)
 	}
@@ -385,7 +388,6 @@
 	}
 	j.placed++
 	c.Throttle.Sent(now, 1)
-	c.sizes.Add(st.Need.CPU)
 	if j.firstPlacedAt.IsZero() || j.firstPlacedAt.Equal(now) {
 		j.firstPlacedAt = now
 		j.placedAtOnce++
--- a/lib/packer/packer.go
+++ b/lib/packer/packer.go
@@ -11,13 +11,12 @@
 // PackTight is for a load of tasks of about half an upstream's size that vary by a
 // fifth, while callers compete for capacity. Where a deployment asks for it:
 //
-//	if shortage.Short(freePlaces, startsIn100ms) {
+//	if short {
 //		chosen = packer.PackTight(tasks, need, candidates, &sizes)
 //	}
 //	sizes.Add(need.CPU) // once for each job that starts
 //
-// The integration counts the choices by order (usual, tight) and the requests that
-// owners refuse, which rise if entries choose the same places.
+// Requests that owners reject for want of room rise if entries choose the same places.
 package packer
 
 import (
--- a/lib/packer/tight.go
+++ b/lib/packer/tight.go
@@ -118,23 +118,3 @@
 	}
 	return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
 }
-
-// shortageExit is the number of free places per task that starts soon at which a shortage
-// ends, so that the order doesn't change with every start.
-const shortageExit = 2
-
-// Shortage tells when to use PackTight. Its zero value is ready for use.
-type Shortage struct{ short bool }
-
-// Short reports whether capacity is short, given the free places on near upstreams and
-// the number of tasks that start in 100 ms, the time after which other entries' starts
-// are known. A shortage begins when there are fewer places than tasks, and ends when
-// there are shortageExit times as many.
-func (s *Shortage) Short(places, tasks int) bool {
-	if s.short {
-		s.short = places < shortageExit*tasks
-	} else {
-		s.short = places < tasks
-	}
-	return s.short
-}
--- a/lib/packer/tight_test.go
+++ b/lib/packer/tight_test.go
@@ -58,19 +58,6 @@
 	}
 }
 
-// The order must not alternate while the free places are about as many as needed.
-func TestShortage(t *testing.T) {
-	s := &packer.Shortage{}
-	for _, c := range []struct {
-		places, tasks int
-		want          bool
-	}{{10, 10, false}, {9, 10, true}, {19, 10, true}, {20, 10, false}, {0, 0, false}} {
-		if got := s.Short(c.places, c.tasks); got != c.want {
-			t.Errorf("short with %d places and %d tasks: %v, want %v", c.places, c.tasks, got, c.want)
-		}
-	}
-}
-
 // work is a job of the simulated load, or one of its runs; times are in milliseconds.
 type work struct {
 	tasks, up          int
