--- a/review/stand/scene.go
+++ b/review/stand/scene.go
@@ -103,7 +103,7 @@
 			"priority": 0, "service": service, "max_attempts": maxAttempts, "stretch": 1.6,
 		}},
 		"services": []map[string]any{{
-			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": !s.plant.unguarded, "standby": false,
+			"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": true, "standby": false,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
@@ -331,15 +331,11 @@
 
 // call sends a request of a client to an entry. It returns status 0 without an answer.
 func (s *scene) call(method, name, id string, body any) (status int, state string) {
-	return s.callWithin(clientDeadline, method, name, id, body)
-}
-
-func (s *scene) callWithin(deadline time.Duration, method, name, id string, body any) (status int, state string) {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.entry(name).front+prefix+id, bytes.NewReader(data))
 	if err != nil {
@@ -347,7 +343,7 @@
 	}
 	r.Host = host
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set("X-Request-Deadline", fmt.Sprint(clientDeadline.Milliseconds()))
 	sent := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/base64"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -100,16 +98,10 @@
 	store *store
 	// task says what a task needs and how a run of it goes.
 	task func(task string, run int) (need amount, work time.Duration, fails bool)
-	// fate decides on orders; nil lets all pass. A late order is carried out after that
-	// time and not answered.
-	fate func(w *worker, path, task string, run int) (late time.Duration)
 
 	// network holds the paths to the workers; nil if none is ever cut.
 	network *network
 
-	// unguarded workers start what does not fit.
-	unguarded bool
-
 	mu      sync.Mutex
 	workers []*worker
 	events  []event
@@ -147,13 +139,6 @@
 	return out
 }
 
-// all returns all events.
-func (p *plant) all() []event {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return append([]event{}, p.events...)
-}
-
 // find returns the worker with an id.
 func (p *plant) find(id string) *worker {
 	p.mu.Lock()
@@ -443,42 +428,20 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if w.delayed(r, "start", q, func() { w.carryOutStart(q) }) {
-		return
-	}
 	status, reason := w.carryOutStart(q)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answer(rw, status, reason)
 }
 
-// delayed reports whether an order is carried out late and not answered.
-func (w *worker) delayed(r *http.Request, path string, q order, act func()) bool {
-	if w.plant.fate == nil {
-		return false
-	}
-	late := w.plant.fate(w, path, q.Task, q.Run)
-	if late == 0 {
-		return false
-	}
-	born := w.born
-	time.AfterFunc(late, func() {
-		w.mu.Lock()
-		gone := w.down || !w.born.Equal(born)
-		w.mu.Unlock()
-		if !gone {
-			act()
-		}
-	})
-	<-r.Context().Done()
-	return true
-}
-
 // carryOutStart starts a run and returns the answer.
 func (w *worker) carryOutStart(q order) (int, string) {
 	need, work, fails := w.plant.task(q.Task, q.Run)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down {
+		panic(http.ErrAbortHandler)
+	}
 	k := runKey{q.Task, q.Run}
 	switch {
 	case w.fenced(q.Token):
@@ -490,7 +453,7 @@
 		return http.StatusConflict, "old"
 	case q.Expires <= w.clock():
 		return http.StatusConflict, "late"
-	case !w.plant.unguarded && (w.freeLocked().cpu < need.cpu || w.freeLocked().memory < need.memory):
+	case w.freeLocked().cpu < need.cpu || w.freeLocked().memory < need.memory:
 		w.extend(q.Expires)
 		return http.StatusConflict, "room"
 	}
@@ -508,9 +471,6 @@
 		}
 	})
 	w.runs[k] = run
-	if f := w.freeLocked(); f.cpu < 0 || f.memory < 0 {
-		w.plant.see(event{at: time.Now(), worker: w.id, runKey: k, what: "over"})
-	}
 	w.plant.see(event{at: time.Now(), worker: w.id, runKey: k, what: "start"})
 	w.plant.rec.note("worker %s: %s run %d starts (token %d)", w.id, k.task, k.run, q.Token)
 	return http.StatusOK, ""
@@ -522,9 +482,6 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if w.delayed(r, "stop", q, func() { w.carryOutStop(q) }) {
-		return
-	}
 	status, reason := w.carryOutStop(q)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -605,12 +562,3 @@
 	id, _, _ := strings.Cut(task, ".")
 	return id
 }
-
-// taskName returns the name of a task of a job without occurrences.
-func taskName(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
-
-// specNumber reads a number that a job's specification holds.
-func specNumber(s string) int {
-	n, _ := strconv.Atoi(s)
-	return n
-}
