--- a/review/standin/zone_cut.go
+++ b/review/standin/zone_cut.go
@@ -13,6 +13,7 @@
 		runKey
 		worker   string
 		from, to time.Time
+		ended    bool
 	}
 	var spans []span
 	list := s.plant.seen(id)
@@ -25,8 +26,8 @@
 			observed[e.runKey] = observed[e.runKey] || !e.lapsedSince
 		case "done", "failed", "stopped", "lapsed", "crashed":
 			for i := range spans {
-				if spans[i].runKey == e.runKey && spans[i].worker == e.worker {
-					spans[i].to = e.at
+				if spans[i].runKey == e.runKey && spans[i].worker == e.worker && !spans[i].ended {
+					spans[i].to, spans[i].ended = e.at, true
 				}
 			}
 		}
