--- a/review/standin/late_write.go
+++ b/review/standin/late_write.go
@@ -12,9 +12,9 @@
 const (
 	// lateBy is how late the write is, restartDelay how long the entry stays down, and
 	// resendDelay the time after which the client sends the job again.
-	lateBy       = 1200 * time.Millisecond
+	lateBy       = 1800 * time.Millisecond
 	restartDelay = 200 * time.Millisecond
-	resendDelay  = 1300 * time.Millisecond
+	resendDelay  = 1900 * time.Millisecond
 )
 
 // lateWrite delays the write of a job at the store, kills the entry that sent it, and
--- a/review/standin/zone_cut.go
+++ b/review/standin/zone_cut.go
@@ -57,6 +57,9 @@
 
 func init() { cases["zone-cut"] = zoneCut }
 
+// cutFor is how long the zone is cut off.
+const cutFor = 6300 * time.Millisecond
+
 // zoneCut cuts off the zone in which a job's tasks run, and kills the entry that holds the
 // job. The entry is started again at once.
 func zoneCut(s *scene) (string, error) {
@@ -81,7 +84,7 @@
 	}
 	if s.trouble {
 		s.network.setCut(cut)
-		time.AfterFunc(6*time.Second, func() { s.network.setCut("") })
+		time.AfterFunc(cutFor, func() { s.network.setCut("") })
 		time.Sleep(time.Second)
 		s.kill(names[0])
 		time.Sleep(500 * time.Millisecond)
