--- a/review/standin/cancel_unanswered.go
+++ b/review/standin/cancel_unanswered.go
@@ -47,13 +47,19 @@
 		over = began.Add(lostFor)
 		s.rec.note("the store loses the answers of %d%% of the writes from now on", lostShare)
 		rng := rand.New(rand.NewPCG(uint64(began.UnixNano()), 1))
+		writes, lost := 0, 0
 		s.store.setFate(func(entry, _ string, t *transaction) fate {
 			mu.Lock()
 			defer mu.Unlock()
-			if t == nil || time.Now().After(over) || rng.IntN(100) >= lostShare {
+			if t == nil || time.Now().After(over) {
 				return fate{}
 			}
-			s.rec.note("store: the answer to the write of %s to %s is lost", entry, keysOf(t))
+			writes++
+			if rng.IntN(100) >= lostShare || 100*(lost+1) > lostShare*writes {
+				return fate{}
+			}
+			lost++
+			s.rec.note("store: the answer to the write of %s to %s is lost, %d of %d so far", entry, keysOf(t), lost, writes)
 			return fate{silent: true}
 		})
 	}
--- a/review/standin/late_write.go
+++ b/review/standin/late_write.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,9 +36,10 @@
 		s.submit(name, fmt.Sprintf("%s%x", early[:15], i), "x", work)
 	}
 	time.Sleep(3 * time.Second)
-	if s.trouble {
+	if s.causes("1") {
+		var once atomic.Bool
 		s.store.setFate(func(entry, _ string, t *transaction) fate {
-			if entry == first && t != nil && strings.HasSuffix(keysOf(t), id) {
+			if entry == first && t != nil && strings.HasSuffix(keysOf(t), id) && once.CompareAndSwap(false, true) {
 				s.rec.note("store: the write of %s to %s is late and not answered", entry, keysOf(t))
 				return fate{after: lateBy, silent: true}
 			}
@@ -48,7 +50,7 @@
 	answered := make(chan int, 1)
 	go func() { answered <- s.submit(first, id, "x", work) }()
 	time.Sleep(100 * time.Millisecond)
-	if s.trouble {
+	if s.causes("2") {
 		s.kill(first)
 		time.Sleep(restartDelay)
 		if err := s.startEntry(first); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -66,6 +66,11 @@
 	}
 	done := make(chan result, 1)
 	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				done <- result{"", fmt.Errorf("panic: %v", p)}
+			}
+		}()
 		why, err := cases[name](s)
 		done <- result{why, err}
 	}()
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -37,14 +37,18 @@
 type scene struct {
 	rec     *recorder
 	trouble bool
-	store   *store
-	plant   *plant
-	dir     string
+	// only is the number of the one disruption to cause; empty for all.
+	only  string
+	store *store
+	plant *plant
+	dir   string
 	// network is nil unless a case cuts paths.
 	network *network
 	zoneOf  map[string]string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// closed is true once no entry may be started any more.
+	closed  bool
 	entries map[string]*entry
 }
 
@@ -67,16 +71,22 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{rec: rec, trouble: trouble, dir: dir, entries: make(map[string]*entry)}
+	s := &scene{rec: rec, trouble: trouble, only: os.Getenv("ONLY"), dir: dir, entries: make(map[string]*entry)}
 	s.store = newStore(rec)
 	s.plant = &plant{rec: rec, store: s.store}
 	return s, nil
 }
 
+// causes reports whether a case causes its disruption of a number.
+func (s *scene) causes(number string) bool {
+	return s.trouble && (s.only == "" || s.only == number)
+}
+
 // close ends all processes that the scene started.
 func (s *scene) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, e := range s.entries {
 		e.signal(syscall.SIGCONT)
 		e.signal(syscall.SIGKILL)
@@ -257,6 +267,11 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return fmt.Errorf("%w: the case has ended", errSetup)
+	}
 	c := exec.Command(program, "leased", "--settings", e.settings)
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
--- a/review/standin/two_crashes.go
+++ b/review/standin/two_crashes.go
@@ -21,13 +21,13 @@
 	if s.submit(names[0], id, "x", step{Count: 1, CPU: 6800, Memory: 64, Estimate: 7000}) != http.StatusOK {
 		return "", fmt.Errorf("the job was not accepted")
 	}
-	for range 2 {
+	for _, number := range []string{"1", "2"} {
 		w := s.waitRunning(id, 15*time.Second)
 		if w == nil {
 			return "", fmt.Errorf("the task does not run")
 		}
 		time.Sleep(time.Second)
-		if s.trouble {
+		if s.causes(number) {
 			w.crash()
 			time.Sleep(4500 * time.Millisecond)
 			if err := w.restart(); err != nil {
--- a/review/standin/zone_cut.go
+++ b/review/standin/zone_cut.go
@@ -82,9 +82,11 @@
 			return "", fmt.Errorf("%s runs on %s, which is not in %s", k.task, w, cut)
 		}
 	}
-	if s.trouble {
+	if s.causes("1") {
 		s.network.setCut(cut)
 		time.AfterFunc(cutFor, func() { s.network.setCut("") })
+	}
+	if s.causes("2") {
 		time.Sleep(time.Second)
 		s.kill(names[0])
 		time.Sleep(500 * time.Millisecond)
