Stop runs of unreachable holders once the registration has lapsed

Cause: an owner lets the runs of kept jobs go on while their requester is silent, and goes on renewing their leases without a registration. A takeover asks the registered entries only, and took an upstream that its new owner had not reached as empty 2 s after the acquisition. That holds for a dead former owner, not for one that is cut off with the upstream.

Ruled out: that the early removal of the dead holder's key is at fault; its process had ended.

Change: the term of a lease is counted by the entry's own clock from the sending of the last renewal. When that of its registration may have ended, an owner stops the runs of all requesters that it cannot reach. A new owner waits 2 s from the claim, too. The loss of a registration or a holder no longer waits for calls that hang.

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -64,6 +64,9 @@
 	// HolderLost is called after the holder of this entry was lost or released;
 	// nil if there are no kept jobs.
 	HolderLost func()
+	// RegistrationLapsed is called when the registration was not renewed in time, so that
+	// it may have ended; it may be nil.
+	RegistrationLapsed func()
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -72,9 +75,11 @@
 	members  retainer.Retainer[*wire.Registration]
 	revision int64
 	lease    int64
-	missing  bool
-	wake     chan struct{}
-	stopped  atomic.Bool
+	// registration is the term of the registration's lease.
+	registration leaseTerm
+	missing      bool
+	wake         chan struct{}
+	stopped      atomic.Bool
 	// failingSince is the time of the first failure since the last successful
 	// renewal, zero if there is none.
 	failingSince time.Time
@@ -107,8 +112,12 @@
 	lease, missing := e.lease, e.missing
 	e.mu.Unlock()
 	if lease != 0 && !missing {
+		requested := sinceBoot()
 		alive, err := e.Store.KeepAlive(ctx, lease)
 		e.logRenewal(err)
+		if err == nil && alive {
+			e.registration.extend(requested+leaseSeconds*time.Second, e.registrationLapsed)
+		}
 		if err != nil || alive {
 			return
 		}
@@ -134,6 +143,7 @@
 
 // register writes the registration under a new lease.
 func (e *Enroller) register(ctx context.Context) error {
+	requested := sinceBoot()
 	lease, err := e.Store.Grant(ctx, leaseSeconds)
 	if err != nil {
 		return errors.Wrap(err, "lease")
@@ -149,10 +159,25 @@
 	e.mu.Lock()
 	e.lease, e.missing = lease, false
 	e.mu.Unlock()
+	e.registration.extend(requested+leaseSeconds*time.Second, e.registrationLapsed)
 	e.Log.Info().Str("incarnation", e.Self.GetIncarnation()).Msg("registered")
 	return nil
 }
 
+// registrationLapsed logs that the registration may have ended, and calls
+// RegistrationLapsed.
+func (e *Enroller) registrationLapsed() {
+	e.Log.Warn().Msg("registration_lapsed")
+	if e.RegistrationLapsed != nil {
+		e.RegistrationLapsed()
+	}
+}
+
+// HoldsRegistration reports whether the registration of this entry certainly is in the
+// store, unless it was removed. Otherwise other entries may own its upstreams, and may
+// not count on this one any more.
+func (e *Enroller) HoldsRegistration() bool { return e.registration.lasts() }
+
 // StopRenewing stops renewing the registration. It must be called before
 // Deregister.
 func (e *Enroller) StopRenewing() { e.stopped.Store(true) }
--- a/lib/enroller/holder.go
+++ b/lib/enroller/holder.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
 
 	"radishweir.org/lib/platform"
 )
@@ -19,6 +18,9 @@
 	holderLeaseSeconds = 8
 	// holderSeparator separates the entry's name and the lease number in a holder.
 	holderSeparator = "@"
+	// holderNotRenewed is the reason in the log for the loss of a holder whose lease may
+	// have ended.
+	holderNotRenewed = "not renewed in time"
 )
 
 // holderState is the state of this entry's holder and the list of all holders.
@@ -28,8 +30,7 @@
 	// holder is empty while this entry has none.
 	holder      string
 	holderLease int64
-	// validUntil is the time since boot from which on the lease may have ended.
-	validUntil time.Duration
+	holderTerm  leaseTerm
 	// holders are all holders in the store.
 	holders map[string]bool
 	// acquiring serializes the acquisition of a holder.
@@ -38,22 +39,12 @@
 	oldHoldersRemoved bool
 }
 
-// sinceBoot returns the time since boot, including time in which the VM was
-// suspended.
-func sinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(ts.Nano())
-}
-
 // Holder returns the holder of this entry, or "" if it has none or its lease may
 // have ended, so that other entries may have taken over its jobs.
 func (e *Enroller) Holder() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if sinceBoot() >= e.validUntil {
+	if !e.holderTerm.lasts() {
 		return ""
 	}
 	return e.holder
@@ -102,7 +93,7 @@
 	expired := e.holder
 	e.mu.Unlock()
 	if expired != "" {
-		e.dropHolder(expired, "not renewed in time")
+		e.dropHolder(expired, holderNotRenewed)
 	}
 	requested := sinceBoot()
 	lease, err := e.Store.Grant(ctx, holderLeaseSeconds)
@@ -116,7 +107,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.holder, e.holderLease, e.validUntil = name, lease, requested+holderLeaseSeconds*time.Second
+	e.holder, e.holderLease = name, lease
+	e.extendHolder(name, requested)
 	e.Log.Info().Str("holder", name).Msg("holder_taken")
 	return name, nil
 }
@@ -125,14 +117,15 @@
 // ended or may have ended.
 func (e *Enroller) renewHolder(ctx context.Context) {
 	e.mu.Lock()
-	holder, lease, validUntil := e.holder, e.holderLease, e.validUntil
+	holder, lease := e.holder, e.holderLease
 	e.mu.Unlock()
 	if holder == "" {
 		return
 	}
 	requested := sinceBoot()
-	if requested >= validUntil {
-		e.dropHolder(holder, "not renewed in time")
+	if !e.holderTerm.lasts() {
+		// The VM may have been suspended, which the timer of the term does not count.
+		e.dropHolder(holder, holderNotRenewed)
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -146,12 +139,18 @@
 	default:
 		e.mu.Lock()
 		if e.holder == holder {
-			e.validUntil = requested + holderLeaseSeconds*time.Second
+			e.extendHolder(holder, requested)
 		}
 		e.mu.Unlock()
 	}
 }
 
+// extendHolder extends the term of the holder's lease after a renewal that was sent at
+// the given time since boot. The caller holds the lock.
+func (e *Enroller) extendHolder(holder string, requested time.Duration) {
+	e.holderTerm.extend(requested+holderLeaseSeconds*time.Second, func() { e.dropHolder(holder, holderNotRenewed) })
+}
+
 // dropHolder drops the holder and calls HolderLost, unless holder is no longer the
 // current one.
 func (e *Enroller) dropHolder(holder, reason string) {
@@ -160,7 +159,8 @@
 		e.mu.Unlock()
 		return
 	}
-	e.holder, e.validUntil = "", 0
+	e.holder = ""
+	e.holderTerm.end()
 	e.mu.Unlock()
 	e.Log.Warn().Str("holder", holder).Str("reason", reason).Msg("holder_lost")
 	if e.HolderLost != nil {
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -25,8 +25,10 @@
 	// earlyReleaseRetention is how long a RunSafe waits for the end of its run to
 	// be listed. It comes first when a former owner reported the end.
 	earlyReleaseRetention = 10 * time.Second
-	// leasesExpiredAfter is the time since the acquisition of an upstream that
-	// has not answered its owner after which all leases there have expired.
+	// leasesExpiredAfter is the time after which a dead holder has no runs left on an
+	// upstream that has not answered its owner: by then a former owner that is still
+	// alive has noticed that it is not registered and that the holder is unreachable, and
+	// the leases of the runs that it could not stop have expired.
 	leasesExpiredAfter = 2 * LeaseTTL
 )
 
@@ -182,13 +184,14 @@
 	}
 }
 
-// stopHolder stops the runs of a dead holder and reports whether none is left. It
-// also waits for orphaned runs, which may be the holder's.
-func (h *ownedUpstream) stopHolder(ctx context.Context, holder string, now time.Time) bool {
+// stopHolder stops the runs of a dead holder, which was retired at the given time, and
+// reports whether none is left. It also waits for orphaned runs, which may be the
+// holder's.
+func (h *ownedUpstream) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.synced {
-		return h.released || now.Sub(h.acquiredAt) > leasesExpiredAfter
+		return h.released || time.Since(latest(h.acquiredAt, retiredAt)) > leasesExpiredAfter
 	}
 	left := false
 	for k, r := range h.runs {
@@ -238,8 +241,9 @@
 	r.retiredHolders[holder] = true
 	r.mu.Unlock()
 	r.RetainOrphanedEnds()
+	retiredAt := time.Now()
 	go func() {
-		for ctx.Err() == nil && !r.stopHolder(ctx, holder) {
+		for ctx.Err() == nil && !r.stopHolder(ctx, holder, retiredAt) {
 			pause(ctx, resolveInterval)
 		}
 		for _, h := range r.ownedUpstreams() {
@@ -249,13 +253,12 @@
 	}()
 }
 
-// stopHolder stops the runs of a holder on all owned upstreams and reports
-// whether none is left.
-func (r *Runner) stopHolder(ctx context.Context, holder string) bool {
+// stopHolder stops the runs of a holder, which was retired at the given time, on all
+// owned upstreams and reports whether none is left.
+func (r *Runner) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
 	out := true
-	now := time.Now()
 	for _, h := range r.ownedUpstreams() {
-		out = h.stopHolder(ctx, holder, now) && out
+		out = h.stopHolder(ctx, holder, retiredAt) && out
 	}
 	return out
 }
@@ -266,3 +269,11 @@
 	defer r.mu.RUnlock()
 	return holder != "" && r.retiredHolders[holder]
 }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -262,7 +262,8 @@
 // CancelDetached stops the runs of a requester that were detached by the given time
 // and that it has not attached to since, and returns their number. With kept it also
 // stops those of kept jobs. These go on while their requester is unreachable, which may
-// only be slow; if it is dead, the entry that takes over the job has them stopped.
+// only be slow; if it is dead, the entry that takes over the job has them stopped by this
+// one, as long as this one is registered.
 func (r *Runner) CancelDetached(ctx context.Context, requester string, by time.Time, kept bool) int {
 	n := 0
 	for _, h := range r.ownedUpstreams() {
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -31,6 +31,7 @@
 	e.keeper.Init()
 	e.coordinator.Keeper = e.keeper
 	e.enroller.HolderLost = e.keeper.AbandonOpenJobs
+	e.enroller.RegistrationLapsed = e.cancelUnreachable
 	e.enroller.Departed = func() {
 		// The holders of this entry's earlier incarnations are known only after
 		// the first read of the store.
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -149,7 +149,9 @@
 
 // cancelDetached stops the detached runs of a peer that it does not need any more. It is
 // called cancelDelay after the connection was lost, and 2*cancelDelay after one was
-// established, in which the peer attaches to its runs.
+// established, in which the peer attaches to its runs. The runs of kept jobs go on while
+// the peer is down, but only while this entry is registered: entries that take over the
+// peer's jobs have just the registered entries stop its runs.
 func (e *Entry) cancelDetached(peer string, reconnected bool) {
 	now := time.Now()
 	_, down := e.down.Load(peer)
@@ -160,11 +162,19 @@
 	if down {
 		by = now.Add(-cancelDelay)
 	}
-	if n := e.runner.CancelDetached(e.ctx, peer, by, !down); n > 0 {
+	if n := e.runner.CancelDetached(e.ctx, peer, by, !down || !e.enroller.HoldsRegistration()); n > 0 {
 		e.Log.Info().Str("peer", peer).Int("runs", n).Bool("down", down).Msg("detached_runs_stopped")
 	}
 }
 
+// cancelUnreachable stops the runs of all peers that are down.
+func (e *Entry) cancelUnreachable() {
+	e.down.Range(func(peer, _ any) bool {
+		e.cancelDetached(peer.(string), false)
+		return true
+	})
+}
+
 // Frame implements messenger.Handler.
 func (e *Entry) Frame(peer string, f *wire.PeerFrame) {
 	for _, q := range f.GetRequests() {
--- a/radishweir/internal/composer/peers_test.go
+++ b/radishweir/internal/composer/peers_test.go
@@ -16,8 +16,9 @@
 	"radishweir.org/lib/wire"
 )
 
-// withOwner runs a test in a synctest bubble with an entry that owns the upstream u1 and
-// is connected to entry-2, without servers or a store. Runs on u1 take ten minutes.
+// withOwner runs a test in a synctest bubble with an entry that is registered at a
+// leaseStore, owns the upstream u1 and is connected to entry-2, without servers. Runs on
+// u1 take ten minutes.
 func withOwner(t *testing.T, test func(t *testing.T, e *Entry, f *simulator.Fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -35,6 +36,8 @@
 		e.runner.Client = f
 		e.coordinator.SetUpstreams(f.List())
 		e.runner.SetOwned(ctx, 1, f.List())
+		e.enroller.Store = &leaseStore{}
+		go e.enroller.Run(ctx)
 		e.Up("entry-2", 1)
 		time.Sleep(50 * time.Millisecond)
 		test(t, e, f)
