Start a job in parts on an idle fleet

Cause: chooseUpstreams starts a job in parts only if the missing cores are expected to come free in time, at the rate of this entry's starts in the last second. On an idle entry that is 0, and only this job would make it rise.

Evidence: no run_requested and no refusal in the holder's log; the job passes all other conditions of startWaiting. Ruled out: the throttle (kept jobs are exempt), the fit of single tasks, the lost upstream itself (a job wider than the fleet needs no loss).

Change: the rate is at least that at which the job's own first tasks end.

--- a/lib/coordinator/kept_test.go
+++ b/lib/coordinator/kept_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/runner"
 )
 
 // memoryKeeper is a coordinator.Keeper that only notes which jobs ended, and when.
@@ -65,3 +68,42 @@
 		}
 	})
 }
+
+// Guards against accepted jobs that never start: on an idle fleet a job with more tasks than
+// fit at once runs in parts.
+func TestWideKeptJobStartsOnIdleFleet(t *testing.T) {
+	for name, st := range map[string]coordinator.Step{
+		"wider than the free places of a label": {Tasks: 12, Need: need, Expected: 900 * time.Millisecond, Label: "rack-1"},
+		"wider than the fleet":                  {Tasks: 60, Need: need, Expected: 900 * time.Millisecond},
+		"spread too far":                        {Tasks: 8, Need: need, Expected: 900 * time.Millisecond, Label: "rack-1", MaxPerUpstream: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, ctx context.Context) {
+				s := newTestEntry(ctx, 0)
+				k := &memoryKeeper{ended: make(map[string]time.Time)}
+				s.Keeper = k
+				s.fleet.RunTime = func(string) time.Duration { return 900 * time.Millisecond }
+				for i := range 20 {
+					s.fleet.Add(runner.Upstream{
+						Name: fmt.Sprintf("v%d", i), Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 65536},
+						Labels: runner.JoinLabels([]string{fmt.Sprintf("rack-%d", i/5+1)}),
+					}, 1)
+				}
+				s.SetUpstreams(s.fleet.List())
+				s.runner.SetOwned(ctx, 2, s.fleet.List())
+				time.Sleep(5 * time.Second)
+				now := time.Now()
+				s.SubmitKept(coordinator.Job{
+					ID: "wide", Kind: "check", Service: "claims", Steps: []coordinator.Step{st},
+					Arrived: now, Due: now.Add(1500 * time.Millisecond), MaxFailures: 3, Holder: "entry-1@1",
+				})
+				time.Sleep(6 * time.Second)
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if at, ended := k.ended["wide"]; !ended || at.Sub(now) > 3*time.Second {
+					t.Errorf("the job ended: %v, after %v; want within 3 s", ended, at.Sub(now))
+				}
+			})
+		})
+	}
+}
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -301,7 +301,7 @@
 
 // chooseUpstreams returns upstreams for the tasks of a step that can start now. It
 // returns none unless all tasks fit, or capacity for the others is expected to come
-// free soon enough. A started job goes before all waiting ones, so that jobs of many
+// free soon enough, at the rate of recent starts or as the first tasks end. A started job goes before all waiting ones, so that jobs of many
 // tasks are not starved by jobs of few.
 func (c *Coordinator) chooseUpstreams(j *job, tasks []*task, remaining time.Duration, now time.Time) []string {
 	if len(tasks) == 0 {
@@ -312,8 +312,11 @@
 	if len(chosen) == 0 || len(chosen) == len(tasks) {
 		return chosen
 	}
-	missingCores := c.coresForStarted() + float64(len(tasks)-len(chosen))*float64(st.Need.CPU)/1000
-	wait := missingCores / max(c.startedCores.rate(now), minStartRate)
+	cores := float64(st.Need.CPU) / 1000
+	missingCores := c.coresForStarted() + float64(len(tasks)-len(chosen))*cores
+	// On an idle fleet only the job's own tasks make capacity come free.
+	ownRate := float64(len(chosen)) * cores / st.expected().Seconds()
+	wait := missingCores / max(c.startedCores.rate(now), ownRate, minStartRate)
 	if wait > (remaining - c.shortestTimeToEnd(j)).Seconds() {
 		return nil
 	}
