Compare kept jobs with their records until both agree

Cause: the only way from a cancelled record to the runs was one notice, sent once, to the holder. Nobody sent it if the client left before the outcome of the write was known; it was lost with its connection; and a dead holder passes nothing on, while a takeover looks for open records only.

Ruled out: that orders to stop were lost at the upstreams; none was sent.

Change: each second a holder compares its open jobs with their records, and an owner the kept runs whose requester it cannot reach, at most 32 records an entry. The notice is also sent when the write turns out done later, or the job is found cancelled. The list of unsent notices is removed.

--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -70,8 +70,9 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	holder      string
-	// losesReleases makes the releases of stored ends get lost.
-	losesReleases atomic.Bool
+	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
+	// changed records.
+	losesReleases, losesNotices atomic.Bool
 
 	*coordinator.Coordinator
 	runner *runner.Runner
@@ -114,7 +115,7 @@
 	n.runner = &runner.Runner{Client: c.fleet, Ended: n.sendEnd, Changed: n.publishState, Log: nopLog}
 	n.Local = localRunner{n.runner, n}
 	commits := &committer.Committer{Store: c.store, Interval: func() time.Duration { return c.interval }, Log: nopLog}
-	n.keeper = &keeper.Keeper{Self: name, Store: c.store, Committer: commits, Jobs: n.Coordinator, Identity: n, Peers: n, Log: nopLog}
+	n.keeper = &keeper.Keeper{Self: name, Store: c.store, Committer: commits, Jobs: n.Coordinator, Runs: n.runner, Identity: n, Peers: n, Log: nopLog}
 	n.keeper.Init()
 	n.Keeper = n.keeper
 	n.Init(n.ctx)
@@ -343,7 +344,11 @@
 }
 
 // Notify implements keeper.Peers.
-func (n *node) Notify(peer, job string) { n.deliver(peer, func(p *node) { p.keeper.Reload(job) }) }
+func (n *node) Notify(peer, job string) {
+	if !n.losesNotices.Load() {
+		n.deliver(peer, func(p *node) { p.keeper.Reload(job) })
+	}
+}
 
 // AnnounceKeptJobs implements keeper.Peers.
 func (n *node) AnnounceKeptJobs() {
@@ -395,7 +400,9 @@
 	revision int64
 	items    map[string]platform.KeyValue
 	down     bool
-	calls    int
+	// answersLate is how much later than its effect a write is answered.
+	answersLate time.Duration
+	calls       int
 	// transactions is the number of transactions that were carried out.
 	transactions int
 }
@@ -457,15 +464,29 @@
 	return out, nil
 }
 
-func (s *store) Swap(_ context.Context, writes ...platform.Write) (int64, error) {
+func (s *store) Swap(ctx context.Context, writes ...platform.Write) (int64, error) {
 	if err := s.startCall(); err != nil {
 		return 0, err
 	}
+	revision, late, err := s.swap(writes)
+	if late == 0 {
+		return revision, err
+	}
+	select {
+	case <-ctx.Done():
+		return 0, platform.ErrUnknown
+	case <-time.After(late):
+		return revision, err
+	}
+}
+
+// swap carries out a transaction and returns by how much its answer is late.
+func (s *store) swap(writes []platform.Write) (revision int64, late time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range writes {
 		if !w.Unconditional && s.items[w.Key].Revision != w.Expected {
-			return 0, platform.ErrConflict
+			return 0, s.answersLate, platform.ErrConflict
 		}
 	}
 	s.revision++
@@ -478,9 +499,16 @@
 		s.items[w.Key] = platform.KeyValue{Key: w.Key, Value: w.Value, Revision: s.revision}
 	}
 	if s.rng.IntN(30) == 0 {
-		return 0, platform.ErrUnknown
+		return 0, s.answersLate, platform.ErrUnknown
 	}
-	return s.revision, nil
+	return s.revision, s.answersLate, nil
+}
+
+// setAnswersLate sets how much later than its effect a write is answered.
+func (s *store) setAnswersLate(late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answersLate = late
 }
 
 // nopLog discards the events of all entries.
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	k := &keeper.Keeper{Self: "entry-1", Store: store, Committer: committer, Jobs: coordinator, Identity: enroller, Peers: peers, Log: log}
+//	k := &keeper.Keeper{Self: "entry-1", Store: store, Committer: committer, Jobs: coordinator, Runs: runner, Identity: enroller, Peers: peers, Log: log}
 //	k.Init()
 //	go k.Run(ctx)
 //	answer := k.Submit(ctx, job)
@@ -117,6 +117,7 @@
 	Store     platform.Store
 	Committer Committer
 	Jobs      Jobs
+	Runs      Runs
 	Identity  Identity
 	Peers     Peers
 	// Log receives events.
@@ -131,6 +132,8 @@
 	// unheld holds the jobs of lost holders that this entry counts as pending.
 	unheld map[string]unheldJob
 	review chan struct{}
+	// verifyFrom is the position at which the next unattended runs are verified.
+	verifyFrom int
 	// keptJobsExist is true once any entry is known to have kept jobs.
 	keptJobsExist atomic.Bool
 }
@@ -143,6 +146,8 @@
 	revision int64
 	// storedState is the job's state in the stored record.
 	storedState wire.KeptJob_State
+	// verifyAt is the time at which the record is compared with the stored one.
+	verifyAt time.Time
 	// writing is true while a write is in progress, dirty while record has
 	// changes that no write includes yet, and flushScheduled while a delayed
 	// flush is scheduled.
@@ -237,7 +242,8 @@
 	switch {
 	case err == nil:
 		k.mu.Lock()
-		j.revision, j.answer = revision, acceptedAnswer
+		j.stored(revision)
+		j.answer = acceptedAnswer
 		// If the holder was lost during the write, the entry that takes over
 		// its jobs runs this one too.
 		current := k.jobs[j.id] == j && k.Identity.Holder() == j.record.GetHolder()
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -46,8 +46,9 @@
 	return Queued
 }
 
-// Cancel cancels a job. It returns false if no such job exists or the job has ended
-// in another state. After an error the job may go on.
+// Cancel cancels a job and tells its holder. It returns false if no such job exists or
+// the job has ended in another state. After an error the job may go on, or be cancelled
+// later.
 func (k *Keeper) Cancel(ctx context.Context, id string) (bool, error) {
 	for range maxCancelAttempts {
 		kv, err := k.read(ctx, id)
@@ -55,13 +56,24 @@
 			return false, err
 		}
 		record := decode(kv.Value)
+		holder := record.GetHolder()
+		if record.GetState() == wire.KeptJob_cancelled {
+			// Whoever wrote that may not have been able to tell the holder.
+			k.notifyHolder(id, holder)
+			return true, nil
+		}
 		if kv.Revision == 0 || record.GetState() != wire.KeptJob_open {
-			return record.GetState() == wire.KeptJob_cancelled, nil
+			return false, nil
 		}
-		holder := record.GetHolder()
 		record = &wire.KeptJob{State: wire.KeptJob_cancelled, Queue: record.GetQueue(), Holder: holder, Term: record.GetTerm()}
 		result := make(chan error, 1)
-		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: kv.Revision}, func(_ int64, err error) { result <- err })
+		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: kv.Revision}, func(_ int64, err error) {
+			if err == nil {
+				// The caller may have left before the outcome of the write was known.
+				k.notifyHolder(id, holder)
+			}
+			result <- err
+		})
 		select {
 		case err = <-result:
 		case <-ctx.Done():
@@ -69,7 +81,6 @@
 		}
 		switch {
 		case err == nil:
-			k.notifyHolder(id, holder)
 			return true, nil
 		case !isConflict(err):
 			return false, err
@@ -78,7 +89,8 @@
 	return false, platform.ErrConflict
 }
 
-// notifyHolder tells the entry that holds a job that this entry changed its record.
+// notifyHolder tells the entry that holds a job that its record was changed. If the notice
+// is lost, the holder notices the change as it verifies the record.
 func (k *Keeper) notifyHolder(id, holder string) {
 	name, _, _ := strings.Cut(holder, "@")
 	if name == k.Self {
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"radishweir.org/lib/coordinator"
@@ -107,8 +108,12 @@
 	}
 }
 
-// Run takes over the jobs of lost holders until ctx ends.
+// Run takes over the jobs of lost holders, and compares the jobs of this entry with their
+// records, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	var verification sync.WaitGroup
+	verification.Go(func() { k.verify(ctx) })
+	defer verification.Wait()
 	reviewed := false
 	settle := time.NewTicker(settleInterval)
 	defer settle.Stop()
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -111,7 +111,8 @@
 	switch {
 	case err == nil:
 		written, losses := j.pendingEnds, j.pendingLosses
-		j.revision, j.storedState, j.pendingEnds, j.pendingLosses = revision, state, nil, nil
+		j.stored(revision)
+		j.storedState, j.pendingEnds, j.pendingLosses = state, nil, nil
 		k.flush(j)
 		if state != wire.KeptJob_open && !j.writing {
 			time.AfterFunc(outcomeRetention, func() { k.removeRecord(j) })
@@ -146,6 +147,12 @@
 	})
 }
 
+// stored records that the store holds the record at a revision; the caller holds the
+// keeper's lock.
+func (j *keptJob) stored(revision int64) {
+	j.revision, j.verifyAt = revision, time.Now().Add(verifyInterval)
+}
+
 // reloadRecord reads the record of a job again after a conflict or a notice
 // that it was changed. If another entry cancelled the job or took it over, this
 // entry stops running it; otherwise the pending changes are written.
@@ -173,7 +180,7 @@
 	}
 	if revision != 0 && record.GetState() == wire.KeptJob_open && record.GetHolder() == holder {
 		// No other entry changed the job.
-		j.revision = revision
+		j.stored(revision)
 		k.flush(j)
 		k.mu.Unlock()
 		return
--- a/lib/runner/health.go
+++ b/lib/runner/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -140,7 +139,7 @@
 			h.updateSlowness(ratio)
 		}
 	case wire.RunEnd_failed:
-		job, _, _ := strings.Cut(r.request.GetTask(), ".")
+		job := jobOf(r.request.GetTask())
 		h.severalJobsFailed = h.severalJobsFailed || (h.failures > 0 && h.lastFailedJob != job)
 		h.lastFailedJob = job
 		h.failures++
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"radishweir.org/lib/wire"
@@ -263,6 +265,58 @@
 	return out
 }
 
+// UnattendedJobs returns the kept jobs with runs whose requester is unreachable, in order
+// of their names.
+func (r *Runner) UnattendedJobs() []string {
+	var out []string
+	for _, h := range r.ownedUpstreams() {
+		out = h.appendUnattended(out)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// appendUnattended appends the jobs of the runs of kept jobs whose requester is
+// unreachable.
+func (h *ownedUpstream) appendUnattended(out []string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, r := range h.runs {
+		if r.request.GetHolder() != "" && !r.detachedAt.IsZero() && !r.stopping {
+			out = append(out, jobOf(k.task))
+		}
+	}
+	return out
+}
+
+// StopJob stops all runs of a job and returns their number.
+func (r *Runner) StopJob(ctx context.Context, job string) int {
+	n := 0
+	for _, h := range r.ownedUpstreams() {
+		n += h.stopJob(ctx, job)
+	}
+	return n
+}
+
+func (h *ownedUpstream) stopJob(ctx context.Context, job string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for k, r := range h.runs {
+		if jobOf(k.task) == job && !r.stopping {
+			h.stopLocked(ctx, k, r)
+			n++
+		}
+	}
+	return n
+}
+
+// jobOf returns the job of a task: its name begins with the job's identifier and a dot.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // isRetired reports whether the jobs of a holder were taken over.
 func (r *Runner) isRetired(holder string) bool {
 	r.mu.RLock()
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -111,7 +111,6 @@
 	// entry. A kept job is a durable job whose record is in the platform's store
 	// from acceptance to end.
 	keptJobsExist atomic.Bool
-	unsentNotices notices
 	pending       pending
 	received      receivedJobs
 	overload      overload
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -26,7 +26,7 @@
 func (e *Entry) buildKeeper() {
 	e.committer = &committer.Committer{Store: e.store, Interval: e.commitInterval, Log: e.Log}
 	e.keeper = &keeper.Keeper{
-		Self: e.Name, Store: e.store, Committer: e.committer, Jobs: e.coordinator, Identity: e.enroller, Peers: (*peers)(e), Log: e.Log,
+		Self: e.Name, Store: e.store, Committer: e.committer, Jobs: e.coordinator, Runs: e.runner, Identity: e.enroller, Peers: (*peers)(e), Log: e.Log,
 	}
 	e.keeper.Init()
 	e.coordinator.Keeper = e.keeper
@@ -79,12 +79,7 @@
 
 // Notify implements keeper.Peers.
 func (p *peers) Notify(peer, job string) {
-	notice := &wire.KeptNotice{Job: job}
-	if p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Notices = append(f.Notices, notice) }) {
-		return
-	}
-	// Up sends the notice once the peer is reachable.
-	p.unsentNotices.add(peer, notice)
+	p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Notices = append(f.Notices, &wire.KeptNotice{Job: job}) })
 }
 
 // AnnounceKeptJobs implements keeper.Peers.
@@ -138,29 +133,6 @@
 	}
 }
 
-// notices holds the notices that could not be sent yet, by peer.
-type notices struct {
-	mu     sync.Mutex
-	byPeer map[string][]*wire.KeptNotice
-}
-
-func (n *notices) add(peer string, notice *wire.KeptNotice) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.byPeer == nil {
-		n.byPeer = make(map[string][]*wire.KeptNotice)
-	}
-	n.byPeer[peer] = append(n.byPeer[peer], notice)
-}
-
-func (n *notices) take(peer string) []*wire.KeptNotice {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := n.byPeer[peer]
-	delete(n.byPeer, peer)
-	return out
-}
-
 const (
 	// pendingRefreshInterval is the age at which this entry's own count of
 	// waiting jobs is refreshed.
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -130,9 +130,6 @@
 	e.relayer.PeerUp(peer)
 	e.coordinator.PeerUp(peer, session)
 	time.AfterFunc(2*cancelDelay, func() { e.cancelDetached(peer, true) })
-	for _, n := range e.unsentNotices.take(peer) {
-		(*peers)(e).Notify(peer, n.GetJob())
-	}
 	e.runner.ResendEnds(peer)
 }
 
