Take over jobs that a late write stores under a lost holder

Cause: the write of the first attempt was carried out 1.8 s late, when its entry had been killed and its holder's key removed. All entries had read the records before, found no job of that holder, and did not look again; the conflict of the second attempt was taken as proof that some entry runs the job.

Change: a read of a record whose holder is gone leads to a review, also at the entry that takes such jobs over. A takeover first reads from the store that the holder's key is gone.

--- a/lib/enroller/holder.go
+++ b/lib/enroller/holder.go
@@ -65,6 +65,14 @@
 	return out
 }
 
+// HolderExists reads from the store whether a holder is there.
+func (e *Enroller) HolderExists(ctx context.Context, holder string) (bool, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kv, err := e.Store.Get(call, platform.EntryPrefix+holder)
+	return kv.Revision != 0, err
+}
+
 // HasHolder reports whether a holder of an entry, by its name, is in the store, so that
 // its jobs are not being taken over yet.
 func (e *Enroller) HasHolder(entry string) bool {
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -177,9 +177,12 @@
 	})
 	time.AfterFunc(holderTTL, func() {
 		c.mu.Lock()
+		expired := c.holders[holder]
 		delete(c.holders, holder)
 		c.mu.Unlock()
-		c.triggerReviews()
+		if expired {
+			c.triggerReviews()
+		}
 	})
 }
 
@@ -232,7 +235,7 @@
 // triggerReviews makes all entries look for jobs to take over.
 func (c *cluster) triggerReviews() {
 	for _, n := range c.alive() {
-		n.keeper.TriggerReview()
+		n.keeper.ReviewDeparture()
 	}
 }
 
@@ -390,6 +393,11 @@
 	return maps.Clone(n.cluster.holders)
 }
 
+// HolderExists implements keeper.Identity.
+func (n *node) HolderExists(_ context.Context, holder string) (bool, error) {
+	return n.Holders()[holder], nil
+}
+
 // store is an in-memory version of the platform's store. It answers one of 30
 // writes with platform.ErrUnknown although it was carried out, and refuses all
 // calls while it is down.
@@ -402,7 +410,10 @@
 	down     bool
 	// answersLate is how much later than its effect a write is answered.
 	answersLate time.Duration
-	calls       int
+	// lateKey is the key whose next write is carried out lateBy later and not answered.
+	lateKey string
+	lateBy  time.Duration
+	calls   int
 	// transactions is the number of transactions that were carried out.
 	transactions int
 }
@@ -468,6 +479,10 @@
 	if err := s.startCall(); err != nil {
 		return 0, err
 	}
+	if s.delays(writes) {
+		<-ctx.Done()
+		return 0, platform.ErrUnknown
+	}
 	revision, late, err := s.swap(writes)
 	if late == 0 {
 		return revision, err
@@ -480,6 +495,18 @@
 	}
 }
 
+// delays reports whether a transaction writes lateKey, and then carries it out later.
+func (s *store) delays(writes []platform.Write) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := s.lateKey != "" && slices.ContainsFunc(writes, func(w platform.Write) bool { return w.Key == s.lateKey })
+	if late {
+		s.lateKey = ""
+		time.AfterFunc(s.lateBy, func() { _, _, _ = s.swap(writes) })
+	}
+	return late
+}
+
 // swap carries out a transaction and returns by how much its answer is late.
 func (s *store) swap(writes []platform.Write) (revision int64, late time.Duration, err error) {
 	s.mu.Lock()
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -60,6 +60,9 @@
 	// within one term; the bits above them are the term, which counts the takeovers
 	// of the job. A task is started far less than 1<<termShift times in a term.
 	termShift = 16
+	// maxHolderChecks is the maximum number of attempts to read who holds a job that was
+	// stored before. The reviews after the departure of a holder find the job too.
+	maxHolderChecks = 5
 	// maxCancelAttempts is the most attempts to cancel a job whose record keeps
 	// changing.
 	maxCancelAttempts = 20
@@ -85,8 +88,10 @@
 	// Holder returns the holder of this entry, or "" if other entries may have
 	// taken over its jobs.
 	Holder() string
-	// Holders returns the holders that are in the store.
+	// Holders returns the holders that are in the store, as far as this entry knows.
 	Holders() map[string]bool
+	// HolderExists reads from the store whether a holder is there.
+	HolderExists(ctx context.Context, holder string) (bool, error)
 }
 
 // Peers gives access to the registered entries.
@@ -97,7 +102,7 @@
 	// Claim asks an entry to stop the runs of a holder and to report their ends that
 	// its upstreams still list. ClaimAnswered is called when the entry has answered.
 	Claim(peer, holder string)
-	// Notify tells an entry that another entry changed the record of a job.
+	// Notify tells an entry to read the record of a job again.
 	Notify(peer, job string)
 	// AnnounceKeptJobs tells all entries that kept jobs exist.
 	AnnounceKeptJobs()
@@ -211,12 +216,12 @@
 
 // refuse returns the refusal a, unless an earlier submission of the job was stored.
 func (k *Keeper) refuse(ctx context.Context, id string, a coordinator.Answer) coordinator.Answer {
-	kv, err := k.read(ctx, id)
+	_, revision, err := k.read(ctx, id)
 	switch {
 	case err != nil:
 		k.Log.Info().Str("job", id).Err(err).Msg("refusal_not_certain")
 		return coordinator.Answer{State: coordinator.Expired, Reason: "the store has not answered"}
-	case kv.Revision != 0:
+	case revision != 0:
 		return acceptedAnswer
 	}
 	return a
@@ -264,6 +269,7 @@
 		// Another entry, or an earlier incarnation of this one, stored the job
 		// before.
 		j.answer = acceptedAnswer
+		go k.checkHolder(j.id)
 	case isUnavailable(err):
 		j.answer = coordinator.Answer{State: coordinator.Refused, Reason: "the store cannot be reached", RetryAfter: time.Second}
 	default:
@@ -273,6 +279,24 @@
 	close(j.ready)
 }
 
+// checkHolder reads the record of a job that this entry does not hold, so that the job is
+// taken over if its holder is gone, and not counted as pending if it has ended.
+func (k *Keeper) checkHolder(id string) {
+	for range maxHolderChecks {
+		record, _, err := k.read(context.Background(), id)
+		if err == nil {
+			if record.GetState() != wire.KeptJob_open {
+				k.mu.Lock()
+				delete(k.unheld, id)
+				k.mu.Unlock()
+			}
+			return
+		}
+		k.Log.Debug().Str("job", id).Err(err).Msg("holder_not_checked")
+		time.Sleep(retryInterval)
+	}
+}
+
 // startJob submits a stored job to the coordinator, and releases it there if the
 // job was cancelled or abandoned in the meantime.
 func (k *Keeper) startJob(j *keptJob, job coordinator.Job) {
--- /dev/null
+++ b/lib/keeper/late_write_test.go
@@ -0,0 +1,41 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"radishweir.org/lib/coordinator"
+)
+
+// Guards against accepted jobs that never start: the write of a new job is carried out
+// after its entry was killed and has come back, under a holder that is gone by then.
+func TestLateWriteUnderLostHolder(t *testing.T) {
+	for name, resubmits := range map[string]bool{"submitted again": true, "submitted once": false} {
+		t.Run(name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T) {
+				c := newCluster(t, 4, 3, 6)
+				defer c.stop()
+				// Kept jobs have run before.
+				for _, n := range c.alive() {
+					n.submit("early-"+n.name, 1)
+				}
+				time.Sleep(3 * time.Second)
+				c.store.mu.Lock()
+				c.store.lateKey, c.store.lateBy = recordKey("a"), 1800*time.Millisecond
+				c.store.mu.Unlock()
+				go c.alive()[0].submit("a", 2)
+				time.Sleep(100 * time.Millisecond)
+				c.kill("entry-1")
+				time.Sleep(200 * time.Millisecond)
+				c.start("entry-1")
+				time.Sleep(1700 * time.Millisecond)
+				if resubmits {
+					if s := c.alive()[1].submit("a", 2); s != coordinator.Accepted {
+						t.Fatalf("submitted job: state %v, want accepted", s)
+					}
+				}
+				c.checkJobs([]string{"a"}, nil, 14*time.Second)
+			})
+		})
+	}
+}
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -8,11 +8,21 @@
 	"radishweir.org/lib/wire"
 )
 
-// read reads one record. A missing record has revision 0.
-func (k *Keeper) read(ctx context.Context, id string) (platform.KeyValue, error) {
+// read reads one record and returns it with its revision, 0 if there is none. It triggers
+// a review if the record is that of an open job whose holder is gone: a write that is
+// carried out late may store a job after the jobs of its holder were taken over.
+func (k *Keeper) read(ctx context.Context, id string) (*wire.KeptJob, int64, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return k.Store.Get(call, Prefix+id)
+	kv, err := k.Store.Get(call, Prefix+id)
+	if err != nil {
+		return nil, 0, err
+	}
+	record := decode(kv.Value)
+	if kv.Revision != 0 && record.GetState() == wire.KeptJob_open && !k.Identity.Holders()[record.GetHolder()] {
+		k.TriggerReview()
+	}
+	return record, kv.Revision, nil
 }
 
 // State returns the state of a job (queued, running, complete, failed or
@@ -27,11 +37,10 @@
 		return k.stateName(state, func() bool { return k.Jobs.MayHaveStarted(id) }), nil
 	}
 	k.mu.Unlock()
-	kv, err := k.read(ctx, id)
-	if err != nil || kv.Revision == 0 {
+	record, revision, err := k.read(ctx, id)
+	if err != nil || revision == 0 {
 		return "", err
 	}
-	record := decode(kv.Value)
 	return k.stateName(record.GetState(), func() bool { return len(record.GetDone()) > 0 }), nil
 }
 
@@ -51,23 +60,22 @@
 // later.
 func (k *Keeper) Cancel(ctx context.Context, id string) (bool, error) {
 	for range maxCancelAttempts {
-		kv, err := k.read(ctx, id)
+		record, revision, err := k.read(ctx, id)
 		if err != nil {
 			return false, err
 		}
-		record := decode(kv.Value)
 		holder := record.GetHolder()
 		if record.GetState() == wire.KeptJob_cancelled {
 			// Whoever wrote that may not have been able to tell the holder.
 			k.notifyHolder(id, holder)
 			return true, nil
 		}
-		if kv.Revision == 0 || record.GetState() != wire.KeptJob_open {
+		if revision == 0 || record.GetState() != wire.KeptJob_open {
 			return false, nil
 		}
 		record = &wire.KeptJob{State: wire.KeptJob_cancelled, Queue: record.GetQueue(), Holder: holder, Term: record.GetTerm()}
 		result := make(chan error, 1)
-		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: kv.Revision}, func(_ int64, err error) {
+		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: revision}, func(_ int64, err error) {
 			if err == nil {
 				// The caller may have left before the outcome of the write was known.
 				k.notifyHolder(id, holder)
@@ -101,13 +109,14 @@
 }
 
 // Reload reads the record of a job again in the background, after another entry
-// cancelled it.
+// cancelled it or found that its holder is gone.
 func (k *Keeper) Reload(id string) {
 	k.mu.Lock()
 	j := k.jobs[id]
-	delete(k.unheld, id)
 	k.mu.Unlock()
-	if j != nil {
-		go k.reloadRecord(j)
+	if j == nil {
+		go k.checkHolder(id)
+		return
 	}
+	go k.reloadRecord(j)
 }
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// ReviewDeparture makes Run check for open jobs whose holder is gone, now and once no
+// write that a departed holder sent can be carried out any more.
+func (k *Keeper) ReviewDeparture() {
+	k.TriggerReview()
+	time.AfterFunc(lateWriteDelay, k.TriggerReview)
+}
+
 // Run takes over the jobs of lost holders, and compares the jobs of this entry with their
 // records, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
@@ -167,7 +174,7 @@
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		members = append(members, divider.Member{Name: name})
 	}
-	unheld, mine := make(map[string]unheldJob), make(map[string]bool)
+	unheld, mine, others := make(map[string]unheldJob), make(map[string]bool), make(map[string]string)
 	for _, kv := range records {
 		r, id := decode(kv.Value), strings.TrimPrefix(kv.Key, Prefix)
 		holder := r.GetHolder()
@@ -178,12 +185,19 @@
 			again = true
 			owner, ok := divider.Owner(holder, "", members)
 			mine[holder] = ok && owner == k.Self
+			if ok && owner != k.Self {
+				others[owner] = id
+			}
 		}
 		if len(r.GetDone()) == 0 && (mine[holder] || live[holder] && known[id].holder == holder) {
 			unheld[id] = unheldJob{queue: r.GetQueue(), holder: holder, revision: kv.Revision}
 		}
 	}
 	k.replaceUnheld(known, unheld)
+	for owner, id := range others {
+		// That entry may have read the records before the job was stored.
+		k.Peers.Notify(owner, id)
+	}
 	for _, holder := range slices.Sorted(maps.Keys(mine)) {
 		if mine[holder] {
 			k.startTakeover(ctx, holder)
@@ -210,8 +224,18 @@
 	}
 	k.takeovers[holder] = &takeover{sent: make(map[string]string), answered: make(map[string]string)}
 	k.mu.Unlock()
-	k.Log.Info().Str("holder", holder).Msg("takeover_begun")
 	go func() {
+		defer func() {
+			k.mu.Lock()
+			delete(k.takeovers, holder)
+			k.mu.Unlock()
+		}()
+		// What this entry knows of the holders may be older than the records.
+		if exists, err := k.Identity.HolderExists(ctx, holder); err != nil || exists {
+			k.Log.Info().Str("holder", holder).Bool("exists", exists).Err(err).Msg("takeover_not_begun")
+			return
+		}
+		k.Log.Info().Str("holder", holder).Msg("takeover_begun")
 		started := time.Now()
 		for ctx.Err() == nil && !k.sendClaims(holder) {
 			pause(ctx, claimInterval)
@@ -220,9 +244,6 @@
 		n, err := k.takeOverJobs(ctx, holder)
 		// A late write of the old holder may still add a job.
 		time.AfterFunc(lateWriteDelay, k.TriggerReview)
-		k.mu.Lock()
-		delete(k.takeovers, holder)
-		k.mu.Unlock()
 		k.Log.Info().Str("holder", holder).Int("jobs", n).Err(err).Int64("after_ms", time.Since(started).Milliseconds()).Msg("takeover_ended")
 	}()
 }
@@ -406,13 +427,12 @@
 	}
 	k.mu.Unlock()
 	for _, id := range ids {
-		kv, err := k.read(ctx, id)
+		record, revision, err := k.read(ctx, id)
 		if err != nil {
 			k.Log.Debug().Str("job", id).Err(err).Msg("orphaned_ends_unsettled")
 			return
 		}
-		record := decode(kv.Value)
-		ended := kv.Revision == 0 || record.GetState() != wire.KeptJob_open
+		ended := revision == 0 || record.GetState() != wire.KeptJob_open
 		k.mu.Lock()
 		var settled []coordinator.End
 		k.setOrphans(id, slices.DeleteFunc(k.orphans[id], func(s orphanedEnd) bool {
--- a/lib/keeper/verifier.go
+++ b/lib/keeper/verifier.go
@@ -60,7 +60,7 @@
 	slices.SortFunc(list, func(a, b held) int { return cmp.Or(a.verifyAt.Compare(b.verifyAt), cmp.Compare(a.job.id, b.job.id)) })
 	list = list[:min(n, len(list))]
 	for i, h := range list {
-		kv, err := k.read(ctx, h.job.id)
+		_, revision, err := k.read(ctx, h.job.id)
 		if err != nil {
 			k.Log.Debug().Str("job", h.job.id).Err(err).Msg("record_not_verified")
 			return i, err
@@ -68,7 +68,7 @@
 		k.mu.Lock()
 		h.job.verifyAt = time.Now().Add(verifyInterval)
 		// A record that is older than the last write was read before that write.
-		changed := k.jobs[h.job.id] == h.job && !h.job.writing && (kv.Revision == 0 || kv.Revision > h.job.revision)
+		changed := k.jobs[h.job.id] == h.job && !h.job.writing && (revision == 0 || revision > h.job.revision)
 		k.mu.Unlock()
 		if changed {
 			go k.reloadRecord(h.job)
@@ -88,13 +88,13 @@
 		k.verifyFrom += n
 	}
 	for _, id := range ids {
-		kv, err := k.read(ctx, id)
+		record, revision, err := k.read(ctx, id)
 		if err != nil {
 			k.Log.Debug().Str("job", id).Err(err).Msg("record_not_verified")
 			return
 		}
-		state := decode(kv.Value).GetState()
-		if kv.Revision != 0 && state == wire.KeptJob_open {
+		state := record.GetState()
+		if revision != 0 && state == wire.KeptJob_open {
 			continue
 		}
 		if stopped := k.Runs.StopJob(ctx, id); stopped > 0 {
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -163,9 +163,8 @@
 	var record *wire.KeptJob
 	var revision int64
 	for {
-		kv, err := k.read(context.Background(), j.id)
-		if err == nil {
-			record, revision = decode(kv.Value), kv.Revision
+		var err error
+		if record, revision, err = k.read(context.Background(), j.id); err == nil {
 			break
 		}
 		if k.Identity.Holder() != holder {
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -36,7 +36,7 @@
 		// The holders of this entry's earlier incarnations are known only after
 		// the first read of the store.
 		go e.enroller.RemoveOldHolders(e.ctx)
-		e.keeper.TriggerReview()
+		e.keeper.ReviewDeparture()
 	}
 }
 
