Count the jobs of a lost holder until they can be taken over

Cause: the count of the lost entry was dropped with its key, and the entry that takes the jobs over counts them only after the pause before a review and a read of all records.

Change: the count is included for 2 s after the holder is gone; the protocol lets the value be 2 s old.

TestHolderThatIsGoneIsKnown is new, of the part that was missing before.

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -206,7 +206,7 @@
 	now := time.Now()
 	e.members.Grace = outageGrace
 	if u.Reset {
-		e.holders = make(map[string]bool)
+		e.resetHolders()
 	}
 	if u.Reset && e.members.Reset(now) {
 		time.AfterFunc(outageGrace, func() { e.Changed() })
--- a/lib/enroller/enroller_test.go
+++ b/lib/enroller/enroller_test.go
@@ -106,3 +106,30 @@
 		}
 	})
 }
+
+// Guards against jobs that no entry counts as waiting: the entry that takes over the jobs of
+// a holder counts them only a while after the holder is gone.
+func TestHolderThatIsGoneIsKnown(t *testing.T) {
+	holder := func(name string, revision int64, deleted bool) platform.Event {
+		return platform.Event{KeyValue: platform.KeyValue{Key: platform.EntryPrefix + name, Revision: revision}, Deleted: deleted}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		e := &enroller.Enroller{Self: &wire.Registration{Name: "me"}, Changed: func() {}, Log: zerolog.Nop()}
+		e.Apply(watcher.Update{Reset: true, Revision: 2, Events: []platform.Event{holder("a@1", 1, false), holder("b@2", 2, false)}})
+		time.Sleep(time.Minute)
+		e.Apply(watcher.Update{Revision: 3, Events: []platform.Event{holder("a@1", 3, true)}})
+		// The list after a lost history lacks the other one.
+		e.Apply(watcher.Update{Reset: true, Revision: 5, Events: nil})
+		for _, name := range []string{"a", "b"} {
+			if !e.HadHolder(name, time.Now().Add(-time.Second)) {
+				t.Errorf("the holder of %s that has just gone is not known", name)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for _, name := range []string{"a", "b"} {
+			if e.HadHolder(name, time.Now().Add(-time.Second)) {
+				t.Errorf("%s had a holder in the last second, want none", name)
+			}
+		}
+	})
+}
--- a/lib/enroller/holder.go
+++ b/lib/enroller/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	holderLeaseSeconds = 8
 	// holderSeparator separates the entry's name and the lease number in a holder.
 	holderSeparator = "@"
+	// goneRetention is how long the time at which a holder was gone is kept at least.
+	goneRetention = time.Minute
 	// holderNotRenewed is the reason in the log for the loss of a holder whose lease may
 	// have ended.
 	holderNotRenewed = "not renewed in time"
@@ -33,6 +36,8 @@
 	holderTerm  leaseTerm
 	// holders are all holders in the store.
 	holders map[string]bool
+	// goneAt holds, by entry, the time at which this entry learned that a holder is gone.
+	goneAt map[string]time.Time
 	// acquiring serializes the acquisition of a holder.
 	acquiring sync.Mutex
 	// oldHoldersRemoved is true once RemoveOldHolders was called.
@@ -73,19 +78,28 @@
 	return kv.Revision != 0, err
 }
 
-// HasHolder reports whether a holder of an entry, by its name, is in the store, so that
-// its jobs are not being taken over yet.
-func (e *Enroller) HasHolder(entry string) bool {
+// HadHolder reports whether a holder of an entry, by its name, is in the store, or was there
+// after the given time as far as this entry knows.
+func (e *Enroller) HadHolder(entry string, after time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.goneAt[entry].After(after) {
+		return true
+	}
 	for name := range e.holders {
-		if strings.HasPrefix(name, entry+holderSeparator) {
+		if entryOf(name) == entry {
 			return true
 		}
 	}
 	return false
 }
 
+// entryOf returns the name of the entry that a holder belongs to.
+func entryOf(holder string) string {
+	name, _, _ := strings.Cut(holder, holderSeparator)
+	return name
+}
+
 // EnsureHolder returns the holder of this entry, and acquires one if there is
 // none. After an error this entry cannot accept kept jobs.
 func (e *Enroller) EnsureHolder(ctx context.Context) (string, error) {
@@ -224,9 +238,33 @@
 		e.holders = make(map[string]bool)
 	}
 	if v.Deleted {
+		e.recordGone(name)
 		delete(e.holders, name)
 		e.Log.Info().Str("holder", name).Int64("revision", v.Revision).Msg("holder_gone")
 		return
 	}
 	e.holders[name] = true
 }
+
+// resetHolders replaces the list of all holders by an empty one, before those that are in
+// the store are applied. The caller holds the lock.
+func (e *Enroller) resetHolders() {
+	for name := range e.holders {
+		e.recordGone(name)
+	}
+	e.holders = make(map[string]bool)
+}
+
+// recordGone records that a holder is gone, unless it is not known. The caller holds the
+// lock.
+func (e *Enroller) recordGone(name string) {
+	if !e.holders[name] {
+		return
+	}
+	now := time.Now()
+	if e.goneAt == nil {
+		e.goneAt = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(e.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) > goneRetention })
+	e.goneAt[entryOf(name)] = now
+}
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -138,9 +138,11 @@
 	// waiting jobs is refreshed.
 	pendingRefreshInterval = 200 * time.Millisecond
 	// maxPendingAge is the age from which on the last count of a silent peer is
-	// included in the sum only while the peer has a holder. Once the holder is gone,
-	// the entry that takes over its jobs counts them.
+	// included in the sum only while the peer has a holder, and pendingGrace the time for
+	// which it still is once the holder is gone. By then the entry that takes over its jobs
+	// has read the records and counts them.
 	maxPendingAge = 3 * time.Second
+	pendingGrace  = 2 * time.Second
 )
 
 // pending holds the numbers of kept jobs that have not started, by entry and
@@ -177,14 +179,14 @@
 	return c.queues
 }
 
-// sum returns the number of waiting jobs of one queue on all entries. hasHolder reports
-// whether an entry has a holder.
-func (p *pending) sum(queue string, hasHolder func(entry string) bool) int64 {
+// sum returns the number of waiting jobs of one queue on all entries. hadHolder reports
+// whether an entry has a holder or had one after a time.
+func (p *pending) sum(queue string, hadHolder func(entry string, after time.Time) bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := int64(0)
+	n, now := int64(0), time.Now()
 	for entry, c := range p.counts {
-		if time.Since(c.takenAt) < maxPendingAge || hasHolder(entry) {
+		if now.Sub(c.takenAt) < maxPendingAge || hadHolder(entry, now.Add(-pendingGrace)) {
 			n += c.queues[queue]
 		}
 	}
@@ -198,7 +200,7 @@
 		return 0
 	}
 	e.pending.refresh(e.Name, e.keeper.Pending)
-	return e.pending.sum(queue, e.enroller.HasHolder)
+	return e.pending.sum(queue, e.enroller.HadHolder)
 }
 
 // drainKeptJobs waits for the kept jobs to end and then releases the holder, so
