Name the failed runs that a kept job's record counts

Cause: the record held only the number of failed runs. A takeover could not tell whether a reported failed run was among them, and took as many as the record counts to be. The first one had been stored and released, so the second went uncounted. A failed end that was reported after the takeover was released without being counted, too.

Ruled out: counting each reported end, which counts a stored one again at each takeover (TestStoredFailureIsCountedOnceAtTakeovers).

Change: the record names the failed runs (failed_runs); a takeover counts those that it does not name, and so does a holder with late failed ends. Records without names are read as before.

Tests that failed before: TestFailedRunsAreCountedByTheirNumbers (1 and 3, want 2 and 4), TestLateFailureIsCounted is new with MarkFailed.

--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -63,7 +63,7 @@
 	case j.done == len(j.tasks):
 		out = c.endJob(j, Answer{State: Complete})
 	case j.failedTooOften():
-		out = c.endJob(j, Answer{State: Failed, Reason: "a task failed too often"})
+		out = c.endJob(j, Answer{State: Failed, Reason: failedTooOftenReason})
 	case len(j.Lost) > 0:
 		j.started, j.ran = true, true
 	default:
@@ -76,6 +76,10 @@
 	c.Wake()
 }
 
+// failedTooOftenReason is the reason of the failure of a job of which a task failed
+// MaxFailures times.
+const failedTooOftenReason = "a task failed too often"
+
 // failedTooOften reports whether a task failed MaxFailures times.
 func (j *job) failedTooOften() bool {
 	for _, t := range j.tasks {
@@ -138,6 +142,20 @@
 	c.Wake()
 }
 
+// MarkFailed counts a failed run of a task of a kept job that the coordinator no longer
+// waited for. The number counts the tasks of all steps.
+func (c *Coordinator) MarkFailed(id string, number int) {
+	c.mu.Lock()
+	if j := c.jobs[id]; j != nil && j.kept() && number < len(j.tasks) && !j.tasks[number].done {
+		j.tasks[number].failures++
+		if j.failedTooOften() {
+			c.enqueueMessages(c.endJob(j, Answer{State: Failed, Reason: failedTooOftenReason}))
+		}
+	}
+	c.mu.Unlock()
+	c.sendQueued()
+}
+
 // MayHaveStarted reports whether a task of a job may have been started.
 func (c *Coordinator) MayHaveStarted(id string) bool {
 	c.mu.Lock()
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -503,7 +503,7 @@
 		c.reportTaskEnd(t, e)
 		t.avoidUpstream(e.GetUpstream())
 		if t.failures >= max(j.MaxFailures, 1) {
-			return c.endJob(j, Answer{State: Failed, Reason: "a task failed too often"})
+			return c.endJob(j, Answer{State: Failed, Reason: failedTooOftenReason})
 		}
 	case wire.RunEnd_stopped, wire.RunEnd_lost:
 		j.ran = true
--- a/lib/keeper/failures_test.go
+++ b/lib/keeper/failures_test.go
@@ -96,38 +96,62 @@
 	for _, c := range []struct {
 		name     string
 		stored   uint32
-		reported int
+		reported []uint64
 		want     uint32
 	}{
-		{"none stored", 0, 2, 2},
-		{"fewer stored", 1, 2, 2},
-		{"more stored", 2, 1, 2},
-		{"none reported", 2, 0, 2},
+		{"none stored", 0, []uint64{1, 2}, 2},
+		{"fewer stored", 1, []uint64{1, 2}, 2},
+		{"more stored", 2, []uint64{1}, 2},
+		{"none reported", 2, nil, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			withFakeTime(t, func(t *testing.T) { testFailuresReported(t, c.stored, c.reported, c.want) })
+			withFakeTime(t, func(t *testing.T) { testFailuresReported(t, c.stored, nil, c.reported, c.want) })
+		})
+	}
+}
+
+// Guards against more failed runs than max_attempts allows: a failed run that the lost
+// holder did not store went uncounted, as one that it had stored was taken for it.
+func TestFailedRunsAreCountedByTheirNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		stored, reported []uint64
+		want             uint32
+	}{
+		{"stored and released, then one not stored", []uint64{1}, []uint64{2}, 2},
+		{"stored and not released, then one not stored", []uint64{1}, []uint64{1, 2}, 2},
+		{"both stored, one released", []uint64{1, 2}, []uint64{2}, 2},
+		{"several not stored", []uint64{1}, []uint64{2, 3, 4}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T) { testFailuresReported(t, uint32(len(c.stored)), c.stored, c.reported, c.want) })
 		})
 	}
 }
 
 // testFailuresReported lets an entry take over a job whose record counts the stored
-// failed runs, after some failed runs were reported to that entry.
-func testFailuresReported(t *testing.T, stored uint32, reported int, want uint32) {
+// failed runs and tells the given ones by number, after some failed runs were reported to
+// that entry.
+func testFailuresReported(t *testing.T, stored uint32, named, reported []uint64, want uint32) {
 	c := newCluster(t, 12, 1, 2)
 	defer c.stop()
 	c.fleet.SetRunTime(func(string) time.Duration { return time.Minute })
 	now := time.Now().UnixMilli()
+	var failedRuns []*wire.FailedRun
+	for _, run := range named {
+		failedRuns = append(failedRuns, &wire.FailedRun{Task: 0, Run: run})
+	}
 	data, err := proto.Marshal(&wire.KeptJob{
 		Queue: "check", Service: "claims", Holder: "entry-9@1", MaxFailures: 5, ArrivedMs: now, DueMs: now + 1000,
 		Steps:    []*wire.KeptStep{{Tasks: 2, Need: runner.AmountToWire(need), ExpectedMs: 100}},
-		Failures: map[uint32]uint32{0: stored, 1: 1},
+		Failures: map[uint32]uint32{0: stored, 1: 1}, FailedRuns: failedRuns,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := c.alive()[0]
-	for i := range reported {
-		end := coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: uint64(i + 1)}
+	for _, run := range reported {
+		end := coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: run}
 		// The owner of the upstream reports an end again until it is released.
 		for range 2 {
 			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
@@ -144,3 +168,38 @@
 		t.Errorf("holder %q, failed runs %v, want %q, %d of task 0 and 1 of task 1", r.GetHolder(), r.GetFailures(), n.Holder(), want)
 	}
 }
+
+// Guards against more failed runs than max_attempts allows: the end of a run on an upstream
+// that could not be reached is reported after the job was taken over.
+func TestLateFailureIsCounted(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, 4)
+		defer c.stop()
+		c.fleet.SetRunTime(func(string) time.Duration { return 5 * time.Second })
+		n := c.alive()[0]
+		if s := n.submit("a", 1); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(300 * time.Millisecond)
+		end := coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: 0}
+		// The owner of the upstream reports an end again until it is released.
+		for range 2 {
+			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
+		}
+		time.Sleep(time.Second)
+		if got := c.record("a").GetFailures()[0]; got != 1 {
+			t.Errorf("%d failed runs in the record, want 1", got)
+		}
+		for run := uint64(100); run < 102; run++ {
+			end.Run = run
+			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
+		}
+		time.Sleep(time.Second)
+		if state := c.stateOf("a"); state != "failed" {
+			t.Errorf("state %q after three failed runs, want failed", state)
+		}
+		if running := c.fleet.Running(); running != 0 {
+			t.Errorf("%d runs left of the failed job", running)
+		}
+	})
+}
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -75,6 +75,7 @@
 	ReleaseEnds(list []coordinator.End)
 	LossesStored(id string, tasks []uint32)
 	MarkDone(id string, number int)
+	MarkFailed(id string, number int)
 	MayHaveStarted(id string) bool
 	Pending() map[string]int64
 	Refuses(j coordinator.Job) (coordinator.Answer, bool)
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -71,7 +71,7 @@
 	case j == nil && (holder == "" || holder != k.Identity.Holder()):
 		k.addOrphan(id, orphanedEnd{step: step, index: index, done: done, holder: holder, end: e, received: time.Now()})
 	case j != nil && (slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e)):
-	case done && k.recordLateEnd(j, step, index, e):
+	case k.recordLateEnd(j, step, index, done, e):
 	default:
 		// The result is already stored, or the job has ended.
 		go k.Jobs.ReleaseEnds([]coordinator.End{e})
@@ -86,17 +86,21 @@
 	}
 }
 
-// recordLateEnd records the success of a run that the coordinator no longer waits
+// recordLateEnd records the result of a run that the coordinator no longer waits
 // for: the end was reported after the job was taken over or the run was taken for
-// lost. It returns false if the job has ended or the task is done already. The
-// caller holds the lock.
-func (k *Keeper) recordLateEnd(j *keptJob, step, index int, e coordinator.End) bool {
+// lost. It returns false if the job has ended, the task is done already or the record
+// counts the failed run. The caller holds the lock.
+func (k *Keeper) recordLateEnd(j *keptJob, step, index int, done bool, e coordinator.End) bool {
 	n, ok := taskNumber(j.record, step, index)
-	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) {
+	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) || (!done && j.countsFailure(n, e.Run)) {
 		return false
 	}
-	k.recordTaskEnd(j, n, true, e)
-	go k.Jobs.MarkDone(j.id, int(n))
+	k.recordTaskEnd(j, n, done, e)
+	if done {
+		go k.Jobs.MarkDone(j.id, int(n))
+	} else {
+		go k.Jobs.MarkFailed(j.id, int(n))
+	}
 	return true
 }
 
@@ -358,24 +362,25 @@
 }
 
 // recordOrphans adds the ends of a job's runs that were reported before its takeover to
-// the record. The former holder may have stored a failed run without releasing its end,
-// and the record does not tell which runs it counts. A task's failed runs are therefore
-// taken to be included as far as the stored number allows: one that the holder had not
-// stored may go uncounted, but none is counted twice.
+// the record. The former holder may have stored a failed run without releasing its end;
+// the record tells which runs it counts. One written by an earlier version may count
+// some without telling which: as many reported ones are taken to be among them.
 func (j *keptJob) recordOrphans(ends []orphanedEnd) {
-	failed := make(map[uint32]uint32)
+	unnamed := maps.Clone(j.record.GetFailures())
+	for _, f := range j.record.GetFailedRuns() {
+		if unnamed[f.GetTask()] > 0 {
+			unnamed[f.GetTask()]--
+		}
+	}
 	for _, s := range ends {
 		j.pendingEnds = append(j.pendingEnds, s.end)
 		n, ok := taskNumber(j.record, s.step, s.index)
-		if !ok {
-			continue
-		}
-		if s.done {
-			j.recordEnd(n, true)
-			continue
-		}
-		if failed[n]++; failed[n] > j.record.GetFailures()[n] {
-			j.recordEnd(n, false)
+		switch {
+		case !ok || (!s.done && j.countsFailure(n, s.end.Run)):
+		case !s.done && unnamed[n] > 0:
+			unnamed[n]--
+		default:
+			j.recordEnd(n, s.done, s.end.Run)
 		}
 	}
 }
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -26,7 +26,7 @@
 // recordTaskEnd adds the end of a run to the record and schedules a write; the
 // caller holds the lock.
 func (k *Keeper) recordTaskEnd(j *keptJob, index uint32, done bool, e coordinator.End) {
-	j.recordEnd(index, done)
+	j.recordEnd(index, done, e.Run)
 	j.unwrittenEnds = append(j.unwrittenEnds, e)
 	if j.flushScheduled || j.writing {
 		j.dirty = true
@@ -41,8 +41,8 @@
 	})
 }
 
-// recordEnd adds the end of a run to the record.
-func (j *keptJob) recordEnd(index uint32, done bool) {
+// recordEnd adds the end of a run of a task to the record.
+func (j *keptJob) recordEnd(index uint32, done bool, run uint64) {
 	if done {
 		j.record.Done = append(j.record.Done, index)
 		return
@@ -51,6 +51,12 @@
 		j.record.Failures = make(map[uint32]uint32)
 	}
 	j.record.Failures[index]++
+	j.record.FailedRuns = append(j.record.FailedRuns, &wire.FailedRun{Task: index, Run: run})
+}
+
+// countsFailure reports whether the record counts a failed run of a task.
+func (j *keptJob) countsFailure(index uint32, run uint64) bool {
+	return slices.ContainsFunc(j.record.GetFailedRuns(), func(f *wire.FailedRun) bool { return f.GetTask() == index && f.GetRun() == run })
 }
 
 // UpstreamLost implements coordinator.Keeper.
@@ -97,7 +103,7 @@
 	j.pendingLosses, j.unwrittenLosses = append(j.pendingLosses, j.unwrittenLosses...), nil
 	if j.record.GetState() != wire.KeptJob_open {
 		// An ended job is never run again, so these fields are not needed.
-		j.record.Spec, j.record.Done, j.record.Failures, j.record.Lost = "", nil, nil, nil
+		j.record.Spec, j.record.Done, j.record.Failures, j.record.FailedRuns, j.record.Lost = "", nil, nil, nil, nil
 	}
 	state := j.record.GetState()
 	w := platform.Write{Key: Prefix + j.id, Value: encode(j.record), Expected: j.revision}
