--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -56,8 +56,8 @@
 	changed := u.Reset
 	relayed := watcher.Update{Reset: u.Reset, Regressed: u.Regressed, Revision: u.Revision}
 	for _, e := range u.Events {
-		c := r.apply(e, now)
-		if c || u.Reset || e.Deleted {
+		c, readable := r.apply(e, now)
+		if c || (u.Reset && readable) || e.Deleted {
 			relayed.Events = append(relayed.Events, e)
 		}
 		changed = c || changed
@@ -71,13 +71,13 @@
 	}
 }
 
-// apply applies one event and reports whether the list changed; the caller holds
-// the lock.
-func (r *Roster) apply(e platform.Event, now time.Time) bool {
+// apply applies one event and reports whether the list changed, and whether the event
+// holds a readable registration; the caller holds the lock.
+func (r *Roster) apply(e platform.Event, now time.Time) (changed, readable bool) {
 	if !e.Deleted {
 		up, err := r.Decode(e.Key, e.Value)
 		if err == nil {
-			return r.put(e.Key, up)
+			return r.put(e.Key, up), true
 		}
 		r.Log.Debug().Str("key", e.Key).Err(err).Msg("upstream_unreadable")
 	}
@@ -85,7 +85,7 @@
 	if gone {
 		r.Log.Info().Str("key", e.Key).Msg("upstream_gone")
 	}
-	return gone
+	return gone, false
 }
 
 // put adds or replaces one registration and reports whether the list changed; the
