Ask for claims again when owners change during a takeover

What callers would see: tasks of a kept job run twice at the same time for up to 0.3 s.

Cause: each entry answers a claim for the upstreams that it owns at that moment. If an entry that has not answered leaves, it no longer counts, and its upstreams move to entries that have answered before.

Change: an answer names the view of the registrations from which the upstreams were computed, and is asked for again until it is the claimant's. A repeated claim does not begin the wait for upstreams out of reach anew.

TestTakeoverCoversUpstreamsOfEntryThatLeaves failed before: "two runs of a.0.0.4 at the same time" and three more. Ruled out as a mending: the revision of the registrations, which two entries that know the same ones need not share.

--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -48,8 +48,10 @@
 	store *store
 
 	mu sync.Mutex
-	// nodes holds the running entries by name.
-	nodes map[string]*node
+	// nodes holds the running entries by name, isolated those that are cut off from the
+	// others and from the store.
+	nodes    map[string]*node
+	isolated map[string]bool
 	// registered holds the incarnations of the registered entries, which own the
 	// upstreams, by name.
 	registered map[string]string
@@ -70,6 +72,8 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	holder      string
+	// view is the one from which the upstreams of the entry were computed.
+	view divider.View
 	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
 	// changed records.
 	losesReleases, losesNotices atomic.Bool
@@ -84,7 +88,7 @@
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: simulator.New(), store: newStore(seed),
 		interval: 20 * time.Millisecond,
-		nodes:    make(map[string]*node), registered: make(map[string]string), holders: make(map[string]bool),
+		nodes:    make(map[string]*node), isolated: make(map[string]bool), registered: make(map[string]string), holders: make(map[string]bool),
 	}
 	c.fleet.Amount = need
 	c.fleet.Kept = func(string) bool { return true }
@@ -186,6 +190,34 @@
 	})
 }
 
+// isolate cuts an entry off from the others and from the store, but not from the upstreams.
+// Its registration expires after registrationTTL.
+func (c *cluster) isolate(name string) {
+	c.mu.Lock()
+	c.isolated[name] = true
+	c.mu.Unlock()
+	time.AfterFunc(peerTimeout, func() {
+		for _, other := range c.alive() {
+			if other.name != name {
+				other.PeerDown(name)
+				other.keeper.ResendClaims(name)
+			}
+		}
+	})
+	time.AfterFunc(registrationTTL, func() {
+		c.mu.Lock()
+		delete(c.registered, name)
+		c.mu.Unlock()
+		c.assignUpstreams()
+	})
+}
+
+func (c *cluster) isIsolated(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isolated[name]
+}
+
 // incarnationOf returns the incarnation of a running entry, or "" if it is not
 // running.
 func (c *cluster) incarnationOf(name string) string {
@@ -217,8 +249,12 @@
 	for name := range c.registered {
 		members = append(members, divider.Member{Name: name})
 	}
+	view := divider.NewView(c.registered)
 	c.mu.Unlock()
 	for _, n := range c.alive() {
+		if c.isIsolated(n.name) {
+			continue
+		}
 		var own []runner.Upstream
 		for _, u := range c.fleet.List() {
 			if owner, ok := divider.Owner(u.Name, "", members); ok && owner == n.name {
@@ -226,6 +262,9 @@
 			}
 		}
 		n.runner.SetOwned(n.ctx, token, own)
+		c.mu.Lock()
+		n.view = view
+		c.mu.Unlock()
 		for _, s := range n.runner.States() {
 			n.publishState(s.GetUpstream())
 		}
@@ -235,7 +274,9 @@
 // triggerReviews makes all entries look for jobs to take over.
 func (c *cluster) triggerReviews() {
 	for _, n := range c.alive() {
-		n.keeper.ReviewDeparture()
+		if !c.isIsolated(n.name) {
+			n.keeper.ReviewDeparture()
+		}
 	}
 }
 
@@ -245,8 +286,9 @@
 	c := n.cluster
 	c.mu.Lock()
 	p := c.nodes[peer]
+	cut := c.isolated[n.name] || c.isolated[peer]
 	c.mu.Unlock()
-	if p == nil {
+	if p == nil || cut {
 		return false
 	}
 	time.AfterFunc(messageDelay, func() {
@@ -328,12 +370,15 @@
 		if p != n {
 			p.keeper.HolderClaimed(holder)
 		}
+		n.cluster.mu.Lock()
+		view := p.view
+		n.cluster.mu.Unlock()
 		p.runner.RetireHolder(p.ctx, n.name, holder, func() {
 			if p == n {
-				n.keeper.ClaimAnswered(peer, incarnation, holder)
+				n.keeper.ClaimAnswered(peer, incarnation, holder, view)
 				return
 			}
-			p.deliver(n.name, func(claimant *node) { claimant.keeper.ClaimAnswered(peer, incarnation, holder) })
+			p.deliver(n.name, func(claimant *node) { claimant.keeper.ClaimAnswered(peer, incarnation, holder, view) })
 		})
 	}
 	if peer == n.name {
--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/divider"
 	"radishweir.org/lib/platform"
 	"radishweir.org/lib/simulator"
 )
@@ -313,6 +314,36 @@
 	})
 }
 
+// Guards against tasks that run twice at the same time: an entry leaves during a takeover, and
+// the other entries had answered for the upstreams that they owned before.
+func TestTakeoverCoversUpstreamsOfEntryThatLeaves(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 4, 4, 8)
+		defer c.stop()
+		c.fleet.SetRunTime(func(string) time.Duration { return 5 * time.Second })
+		first := c.alive()[0]
+		if s := first.submit("a", 8); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(300 * time.Millisecond)
+		var members []divider.Member
+		for _, n := range c.alive() {
+			members = append(members, divider.Member{Name: n.name})
+		}
+		claimant, _ := divider.Owner(first.Holder(), "", members)
+		for _, n := range c.alive()[1:] {
+			if n.name != claimant && n.runner.RunCount() > 0 {
+				c.isolate(n.name)
+				break
+			}
+		}
+		c.kill("entry-1")
+		time.Sleep(200 * time.Millisecond)
+		c.start("entry-1")
+		c.checkJobs([]string{"a"}, nil, 30*time.Second)
+	})
+}
+
 // recordKey returns the store key of a job's record.
 func recordKey(id string) string { return platform.Prefix + "jobs/" + id }
 
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -238,12 +238,15 @@
 func (r *Runner) RetireHolder(ctx context.Context, adopter, holder string, done func()) {
 	r.mu.Lock()
 	if r.retiredHolders == nil {
-		r.retiredHolders = make(map[string]bool)
+		r.retiredHolders = make(map[string]time.Time)
+	}
+	retiredAt, again := r.retiredHolders[holder]
+	if !again {
+		retiredAt = time.Now()
+		r.retiredHolders[holder] = retiredAt
 	}
-	r.retiredHolders[holder] = true
 	r.mu.Unlock()
 	r.RetainOrphanedEnds()
-	retiredAt := time.Now()
 	go func() {
 		for ctx.Err() == nil && !r.stopHolder(ctx, holder, retiredAt) {
 			pause(ctx, resolveInterval)
@@ -321,7 +324,7 @@
 func (r *Runner) isRetired(holder string) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return holder != "" && r.retiredHolders[holder]
+	return holder != "" && !r.retiredHolders[holder].IsZero()
 }
 
 // latest returns the later of two times.
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -124,8 +124,8 @@
 	mu    sync.RWMutex
 	owned map[string]*ownedUpstream
 	token int64
-	// retiredHolders contains the holders whose jobs were taken over.
-	retiredHolders map[string]bool
+	// retiredHolders holds, with the time, the holders whose jobs were taken over.
+	retiredHolders map[string]time.Time
 	// discardOrphaned is true once it is known that there are no kept jobs, so that
 	// orphaned ends need not be retained.
 	discardOrphaned atomic.Bool
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishweir.org/lib/committer"
+	"radishweir.org/lib/divider"
 	"radishweir.org/lib/keeper"
 	"radishweir.org/lib/wire"
 )
@@ -54,13 +55,19 @@
 // Incarnations implements keeper.Peers.
 func (p *peers) Incarnations() map[string]string {
 	members, _ := p.enroller.Members()
+	out := incarnationsOf(members)
+	if !p.enroller.Registered() {
+		delete(out, p.Name)
+	}
+	return out
+}
+
+// incarnationsOf returns the incarnations of entries by name.
+func incarnationsOf(members []*wire.Registration) map[string]string {
 	out := make(map[string]string, len(members))
 	for _, m := range members {
 		out[m.GetName()] = m.GetIncarnation()
 	}
-	if !p.enroller.Registered() {
-		delete(out, p.Name)
-	}
 	return out
 }
 
@@ -69,7 +76,7 @@
 	e, incarnation := (*Entry)(p), p.Incarnations()[peer]
 	if peer == p.Name {
 		p.keeper.ClaimSent(peer, incarnation, holder)
-		e.retireHolder(p.Name, holder, func() { p.keeper.ClaimAnswered(peer, incarnation, holder) })
+		e.retireHolder(p.Name, holder, func(view divider.View) { p.keeper.ClaimAnswered(peer, incarnation, holder, view) })
 		return
 	}
 	if p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claims = append(f.Claims, &wire.Holder{Holder: holder}) }) {
@@ -97,13 +104,15 @@
 
 // retireHolder stops the runs of a dead holder on the upstreams of this entry,
 // for the adopter that takes over its jobs. It first waits until this entry is
-// registered, because its upstreams are not known before.
-func (e *Entry) retireHolder(adopter, holder string, done func()) {
+// registered, because its upstreams are not known before. done gets the view from which
+// the upstreams were computed.
+func (e *Entry) retireHolder(adopter, holder string, done func(view divider.View)) {
 	go func() {
 		for e.ctx.Err() == nil && !e.enroller.Registered() {
 			time.Sleep(registrationPoll)
 		}
-		e.runner.RetireHolder(e.ctx, adopter, holder, done)
+		view := divider.View(e.view.Load())
+		e.runner.RetireHolder(e.ctx, adopter, holder, func() { done(view) })
 	}()
 }
 
@@ -121,12 +130,13 @@
 	}
 	for _, c := range f.GetClaims() {
 		e.keeper.HolderClaimed(c.GetHolder())
-		e.retireHolder(peer, c.GetHolder(), func() {
-			e.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claimed = append(f.Claimed, c) })
+		e.retireHolder(peer, c.GetHolder(), func(view divider.View) {
+			answer := &wire.Holder{Holder: c.GetHolder(), View: uint64(view)}
+			e.messenger.Send(peer, func(f *wire.PeerFrame) { f.Claimed = append(f.Claimed, answer) })
 		})
 	}
 	for _, c := range f.GetClaimed() {
-		e.keeper.ClaimAnswered(peer, (*peers)(e).Incarnations()[peer], c.GetHolder())
+		e.keeper.ClaimAnswered(peer, (*peers)(e).Incarnations()[peer], c.GetHolder(), divider.View(c.GetView()))
 	}
 	for _, n := range f.GetNotices() {
 		e.keeper.Reload(n.GetJob())
