Give up a holder whose key was removed from the store

What callers would see: an entry whose holder key the store removed early went on accepting jobs under it, which other entries took over at once and whose runs they refused.

Cause: a holder went by its lease alone, whose renewals succeed, and never by its key.

Change: the removal of its own key makes an entry drop the holder. A list that lacks the key proves nothing, as it may be older.

TestHolderWhoseKeyIsRemovedIsLost failed before (holder "me@1", lost 0 times).

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -217,8 +217,12 @@
 	e.revision = max(e.revision, u.Revision)
 	self, registered := e.members.Get(e.Self.GetName())
 	e.missing = e.lease != 0 && (!registered || self.GetIncarnation() != e.Self.GetIncarnation())
-	missing, wake := e.missing, e.wake
+	missing, wake, holder := e.missing, e.wake, e.holder
 	e.mu.Unlock()
+	if holder != "" && slices.ContainsFunc(u.Events, func(v platform.Event) bool { return v.Deleted && v.Key == platform.EntryPrefix+holder }) {
+		// Other entries take over the jobs, although the lease may still be renewed.
+		e.dropHolder(holder, holderKeyRemoved)
+	}
 	if e.Departed != nil && (u.Reset || slices.ContainsFunc(u.Events, func(v platform.Event) bool { return v.Deleted })) {
 		e.Departed()
 	}
--- a/lib/enroller/enroller_test.go
+++ b/lib/enroller/enroller_test.go
@@ -107,17 +107,19 @@
 	})
 }
 
+// holderEvent returns the event of a holder or its removal.
+func holderEvent(name string, revision int64, deleted bool) platform.Event {
+	return platform.Event{KeyValue: platform.KeyValue{Key: platform.EntryPrefix + name, Revision: revision}, Deleted: deleted}
+}
+
 // Guards against jobs that no entry counts as waiting: the entry that takes over the jobs of
 // a holder counts them only a while after the holder is gone.
 func TestHolderThatIsGoneIsKnown(t *testing.T) {
-	holder := func(name string, revision int64, deleted bool) platform.Event {
-		return platform.Event{KeyValue: platform.KeyValue{Key: platform.EntryPrefix + name, Revision: revision}, Deleted: deleted}
-	}
 	synctest.Test(t, func(t *testing.T) {
 		e := &enroller.Enroller{Self: &wire.Registration{Name: "me"}, Changed: func() {}, Log: zerolog.Nop()}
-		e.Apply(watcher.Update{Reset: true, Revision: 2, Events: []platform.Event{holder("a@1", 1, false), holder("b@2", 2, false)}})
+		e.Apply(watcher.Update{Reset: true, Revision: 2, Events: []platform.Event{holderEvent("a@1", 1, false), holderEvent("b@2", 2, false)}})
 		time.Sleep(time.Minute)
-		e.Apply(watcher.Update{Revision: 3, Events: []platform.Event{holder("a@1", 3, true)}})
+		e.Apply(watcher.Update{Revision: 3, Events: []platform.Event{holderEvent("a@1", 3, true)}})
 		// The list after a lost history lacks the other one.
 		e.Apply(watcher.Update{Reset: true, Revision: 5, Events: nil})
 		for _, name := range []string{"a", "b"} {
@@ -133,3 +135,30 @@
 		}
 	})
 }
+
+// Guards against two holders at work, and against jobs that are stored under one that is gone:
+// the store removes a holder's key early, and goes on renewing its lease.
+func TestHolderWhoseKeyIsRemovedIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &enroller.Enroller{Self: &wire.Registration{Name: "me", Incarnation: "1"}, Store: &store{}, Changed: func() {}, Log: zerolog.Nop()}
+		lost := 0
+		e.HolderLost = func() { lost++ }
+		first, err := e.EnsureHolder(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The list may be older than the key.
+		e.Apply(watcher.Update{Reset: true, Revision: 1})
+		e.Apply(watcher.Update{Revision: 2, Events: []platform.Event{holderEvent("me@999", 2, true)}})
+		if e.Holder() != first || lost != 0 {
+			t.Errorf("holder %q, lost %d times; want %q, which is in the store", e.Holder(), lost, first)
+		}
+		e.Apply(watcher.Update{Revision: 3, Events: []platform.Event{holderEvent(first, 3, true)}})
+		if e.Holder() != "" || lost != 1 {
+			t.Errorf("holder %q, lost %d times after its key was removed; want none, lost once", e.Holder(), lost)
+		}
+		if next, err := e.EnsureHolder(t.Context()); err != nil || next == first {
+			t.Errorf("the next holder is %q, %v; want a new one", next, err)
+		}
+	})
+}
--- a/lib/enroller/holder.go
+++ b/lib/enroller/holder.go
@@ -21,9 +21,10 @@
 	holderSeparator = "@"
 	// goneRetention is how long the time at which a holder was gone is kept at least.
 	goneRetention = time.Minute
-	// holderNotRenewed is the reason in the log for the loss of a holder whose lease may
-	// have ended.
+	// holderNotRenewed and holderKeyRemoved are the reasons in the log for the loss of a
+	// holder whose lease may have ended, and of one whose key is gone.
 	holderNotRenewed = "not renewed in time"
+	holderKeyRemoved = "its key was removed"
 )
 
 // holderState is the state of this entry's holder and the list of all holders.
