Release an end of a job that this entry has forgotten

What callers would see: the entry's process ends with a nil pointer dereference.

Cause: OrphanedEnd recorded a success of an unknown job if the end names the entry's present holder. The counting of late failures had made failed ends do the same.

Change: an end without a job is released, as was meant.

--- a/lib/keeper/failures_test.go
+++ b/lib/keeper/failures_test.go
@@ -203,3 +203,20 @@
 		}
 	})
 }
+
+// Guards against an entry that ends: an upstream still lists an end of a job that this entry
+// held and has forgotten since.
+func TestEndOfForgottenJobIsReleased(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, 4)
+		defer c.stop()
+		n := c.alive()[0]
+		n.submit("a", 1)
+		c.checkJobs([]string{"a"}, nil, 5*time.Second)
+		for _, done := range []bool{true, false} {
+			n.keeper.OrphanedEnd("forgotten", 0, 0, done, n.Holder(), coordinator.End{Upstream: "u00", Task: "forgotten.0.0.0", Run: 1})
+		}
+		n.submit("b", 1)
+		c.checkJobs([]string{"b"}, nil, 5*time.Second)
+	})
+}
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -85,7 +85,7 @@
 	case j == nil && (holder == "" || holder != k.Identity.Holder()):
 		k.addOrphan(id, orphanedEnd{step: step, index: index, done: done, holder: holder, end: e, received: time.Now()})
 	case j != nil && (slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e)):
-	case k.recordLateEnd(j, step, index, done, e):
+	case j != nil && k.recordLateEnd(j, step, index, done, e):
 	default:
 		// The result is already stored, or the job has ended.
 		go k.Jobs.ReleaseEnds([]coordinator.End{e})
