Answer a claim only once the upstreams are known

Cause: a view of 0 stands for an entry of an earlier version and counts as an answer; an entry that has registered and not yet computed its upstreams sent it, too. One that had not read the list of upstreams answered for none of those that it was about to own.

Change: an entry answers once it has computed its upstreams from a list that is not empty.

TestHolderIsRetiredOnceTheUpstreamsAreKnown failed before.

--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -101,7 +101,8 @@
 	current  atomic.Pointer[Settings]
 	ctx      context.Context
 	assignMu sync.Mutex
-	// view is the divider.View from which the upstreams of this entry were computed.
+	// view is the divider.View from which the upstreams of this entry were computed; 0
+	// before they are known.
 	view     atomic.Uint64
 	draining atomic.Bool
 	closing  atomic.Bool
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -104,11 +104,11 @@
 
 // retireHolder stops the runs of a dead holder on the upstreams of this entry,
 // for the adopter that takes over its jobs. It first waits until this entry is
-// registered, because its upstreams are not known before. done gets the view from which
-// the upstreams were computed.
+// registered and has computed its upstreams. done gets the view from which these were
+// computed.
 func (e *Entry) retireHolder(adopter, holder string, done func(view divider.View)) {
 	go func() {
-		for e.ctx.Err() == nil && !e.enroller.Registered() {
+		for e.ctx.Err() == nil && (!e.enroller.Registered() || e.view.Load() == 0) {
 			time.Sleep(registrationPoll)
 		}
 		view := divider.View(e.view.Load())
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -58,7 +58,11 @@
 	e.messenger.SetPeers(e.ctx, peers)
 	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
-	e.view.Store(uint64(divider.NewView(incarnationsOf(registrations))))
+	if len(list) > 0 {
+		// Without the list of upstreams, this entry would vouch for none of those that it
+		// is about to own.
+		e.view.Store(uint64(divider.NewView(incarnationsOf(registrations))))
+	}
 	e.coordinator.SetUpstreams(list)
 	e.coordinator.UpdateStates(e.Name, true, e.runner.States())
 }
--- a/radishweir/internal/composer/unregistered_test.go
+++ b/radishweir/internal/composer/unregistered_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"radishweir.org/lib/divider"
 	"radishweir.org/lib/platform"
+	"radishweir.org/lib/runner"
 	"radishweir.org/lib/simulator"
+	"radishweir.org/lib/watcher"
 )
 
 // leaseStore is a store that grants and renews leases while it is reachable.
@@ -84,3 +89,35 @@
 		}
 	})
 }
+
+// Guards against a takeover that counts the answer of an entry that does not know its upstreams
+// yet: it has just registered, or not read the list of upstreams.
+func TestHolderIsRetiredOnceTheUpstreamsAreKnown(t *testing.T) {
+	withOwner(t, func(t *testing.T, e *Entry, f *simulator.Fleet) {
+		e.enroller.Changed = func() {}
+		data, err := protojson.Marshal(e.self)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.enroller.Apply(watcher.Update{Revision: 1, Events: []platform.Event{
+			{KeyValue: platform.KeyValue{Key: platform.EntryPrefix + e.Name, Value: data, Revision: 1}},
+		}})
+		var view atomic.Uint64
+		e.retireHolder("entry-2", "entry-3@1", func(v divider.View) { view.Store(uint64(v)) })
+		time.Sleep(time.Second)
+		if v := view.Load(); v != 0 || !e.enroller.Registered() {
+			t.Errorf("answered with the view %d (registered: %v) before the upstreams are known", v, e.enroller.Registered())
+		}
+		e.assignUpstreams()
+		time.Sleep(time.Second)
+		if v := view.Load(); v != 0 {
+			t.Errorf("answered with the view %d before the list of upstreams is known", v)
+		}
+		e.roster.Decode = func(string, []byte) (runner.Upstream, error) { return f.List()[0], nil }
+		e.roster.Apply(watcher.Update{Reset: true, Revision: 1, Events: []platform.Event{{KeyValue: platform.KeyValue{Key: "u1", Revision: 1}}}})
+		time.Sleep(time.Second)
+		if view.Load() == 0 {
+			t.Error("not answered, or without a view, once the upstreams are known")
+		}
+	})
+}
