Keep a job whose notice comes before its own write

Cause: a notice makes an entry read the record again. While the write of a takeover waits, that read finds the former holder, and the entry dropped the job as taken over by another one. The write then succeeds, so the record names a live holder that does not run the job. The same happened to a job whose first write was in flight.

Evidence: job_changed_elsewhere with the former holder at the entry 0.19 s after its takeover_ended, and no other line about the job until all entries lost power.

Change: a read that may have come before a write of this entry changes nothing if the record is open or missing; the write tells whether another entry was first.

TestNoticeDuringTakeoverKeepsTheJob and TestNoticeDuringFirstWriteKeepsTheJob failed before.

--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -344,6 +344,63 @@
 	})
 }
 
+// Guards against accepted jobs that nobody runs: a notice that comes while the takeover of its
+// job is being written finds the record of the former holder.
+func TestNoticeDuringTakeoverKeepsTheJob(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 4, 3, 30)
+		defer c.stop()
+		// The write of a takeover waits for those of other jobs.
+		c.interval = 300 * time.Millisecond
+		c.fleet.SetRunTime(func(task string) time.Duration {
+			if len(task) == len("a.0.0.0") {
+				return 3 * time.Second
+			}
+			return 50 * time.Millisecond
+		})
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			if s := c.alive()[0].submit(id, 2); s != coordinator.Accepted {
+				t.Fatalf("submitted job: state %v, want accepted", s)
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		c.kill("entry-1")
+		c.start("entry-1")
+		for i := range 500 {
+			for _, n := range c.alive() {
+				for _, id := range ids {
+					n.keeper.Reload(id)
+				}
+				if i%10 == 0 {
+					go n.submit(fmt.Sprintf("other-%s-%d", n.name, i), 1)
+				}
+			}
+			time.Sleep(7 * time.Millisecond)
+		}
+		c.checkJobs(ids, nil, 20*time.Second)
+	})
+}
+
+// A notice that comes while the first record of a job is being written finds none.
+func TestNoticeDuringFirstWriteKeepsTheJob(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 4, 2, 6)
+		defer c.stop()
+		c.interval = 300 * time.Millisecond
+		n := c.alive()[0]
+		n.submit("before", 1)
+		var submission sync.WaitGroup
+		submission.Go(func() { n.submit("a", 2) })
+		for range 100 {
+			time.Sleep(3 * time.Millisecond)
+			n.keeper.Reload("a")
+		}
+		submission.Wait()
+		c.checkJobs([]string{"a"}, nil, 5*time.Second)
+	})
+}
+
 // recordKey returns the store key of a job's record.
 func recordKey(id string) string { return platform.Prefix + "jobs/" + id }
 
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -164,7 +164,7 @@
 // entry stops running it; otherwise the pending changes are written.
 func (k *Keeper) reloadRecord(j *keptJob) {
 	k.mu.Lock()
-	holder := j.record.GetHolder()
+	holder, known := j.record.GetHolder(), j.revision
 	k.mu.Unlock()
 	var record *wire.KeptJob
 	var revision int64
@@ -183,6 +183,13 @@
 		k.mu.Unlock()
 		return
 	}
+	outdated := j.writing || known == 0 || j.revision != known
+	if outdated && record.GetState() == wire.KeptJob_open {
+		// The read may have come before a write of this entry, which then tells whether
+		// another entry changed the record first.
+		k.mu.Unlock()
+		return
+	}
 	if revision != 0 && record.GetState() == wire.KeptJob_open && record.GetHolder() == holder {
 		// No other entry changed the job.
 		j.stored(revision)
