Run a job of this entry's own holder that it does not know

Cause: holders are compared with the records, and jobs with their records, but records with the jobs only if the holder is gone.

Change: an entry that reads a record with its own holder and does not know the job takes it over from itself, in a new term, so that its runs have higher numbers than any before.

TestJobOfOwnHolderThatIsNotKnownIsRun failed before (last state queued after 14 s).

--- a/lib/keeper/late_write_test.go
+++ b/lib/keeper/late_write_test.go
@@ -4,7 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
 	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/platform"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/wire"
 )
 
 // Guards against accepted jobs that never start: the write of a new job is carried out
@@ -39,3 +45,27 @@
 		})
 	}
 }
+
+// Guards against accepted jobs that nobody runs: the record names a live holder whose entry does
+// not know the job.
+func TestJobOfOwnHolderThatIsNotKnownIsRun(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 4, 2, 6)
+		defer c.stop()
+		n := c.alive()[0]
+		n.submit("early", 1)
+		time.Sleep(2 * time.Second)
+		now := time.Now().UnixMilli()
+		data, err := proto.Marshal(&wire.KeptJob{
+			Queue: "check", Service: "claims", Holder: n.Holder(), MaxFailures: 3, ArrivedMs: now, DueMs: now + 1000,
+			Steps: []*wire.KeptStep{{Tasks: 2, Need: runner.AmountToWire(need), ExpectedMs: 100}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.store.Swap(t.Context(), platform.Write{Key: recordKey("a"), Value: data}); err != nil && !errors.Is(err, platform.ErrUnknown) {
+			t.Fatal(err)
+		}
+		c.checkJobs([]string{"a"}, nil, 14*time.Second)
+	})
+}
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -9,8 +9,9 @@
 )
 
 // read reads one record and returns it with its revision, 0 if there is none. It triggers
-// a review if the record is that of an open job whose holder is gone: a write that is
-// carried out late may store a job after the jobs of its holder were taken over.
+// a review if the record is that of an open job that nobody runs: its holder is gone, as
+// a write that is carried out late may store a job after the jobs of its holder were taken
+// over, or its holder is this entry's and does not know it.
 func (k *Keeper) read(ctx context.Context, id string) (*wire.KeptJob, int64, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -19,12 +20,23 @@
 		return nil, 0, err
 	}
 	record := decode(kv.Value)
-	if kv.Revision != 0 && record.GetState() == wire.KeptJob_open && !k.Identity.Holders()[record.GetHolder()] {
+	if kv.Revision != 0 && record.GetState() == wire.KeptJob_open && !k.isHeld(id, record.GetHolder()) {
 		k.TriggerReview()
 	}
 	return record, kv.Revision, nil
 }
 
+// isHeld reports whether a holder is in the store and, if it is that of this entry, this
+// entry knows the job.
+func (k *Keeper) isHeld(id, holder string) bool {
+	if holder != k.Identity.Holder() {
+		return k.Identity.Holders()[holder]
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.jobs[id] != nil
+}
+
 // State returns the state of a job (queued, running, complete, failed or
 // cancelled), or "" if no such job exists.
 func (k *Keeper) State(ctx context.Context, id string) (string, error) {
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -207,6 +207,9 @@
 				others[owner] = id
 			}
 		}
+		if live[holder] && holder == k.Identity.Holder() {
+			k.adopt(id, kv.Revision, r)
+		}
 		if len(r.GetDone()) == 0 && (mine[holder] || live[holder] && known[id].holder == holder) {
 			unheld[id] = unheldJob{queue: r.GetQueue(), holder: holder, revision: kv.Revision}
 		}
@@ -224,6 +227,19 @@
 	return again
 }
 
+// adopt takes over a job of this entry's own holder that this entry does not run. Nobody
+// else would.
+func (k *Keeper) adopt(id string, revision int64, r *wire.KeptJob) {
+	k.mu.Lock()
+	runs := k.jobs[id] != nil
+	k.mu.Unlock()
+	if runs {
+		return
+	}
+	k.Log.Error().Str("job", id).Msg("job_without_runner")
+	k.takeOverJob(id, revision, r, r.GetHolder())
+}
+
 // list reads all records.
 func (k *Keeper) list(ctx context.Context) ([]platform.KeyValue, error) {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
