--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/divider"
 	"radishweir.org/lib/platform"
 	"radishweir.org/lib/wire"
@@ -28,96 +27,10 @@
 	// lateWriteDelay is the longest delay after which a write sent by the old
 	// holder can still take effect.
 	lateWriteDelay = 8 * time.Second
-	// settleAfter is the age from which on the record of a job with orphaned ends is
-	// read, to find out whether it needs them, settleInterval the time between two
-	// such checks, and maxSettled the maximum number of records read in one.
-	settleAfter    = 4 * time.Second
-	settleInterval = 2 * time.Second
-	maxSettled     = 8
-	// claimInterval is the time between two checks of the answers to a claim.
-	claimInterval = 50 * time.Millisecond
 	// listTimeout bounds a read of all records.
 	listTimeout = 5 * time.Second
 )
 
-// orphanedEnd is the end of a run whose job this entry does not hold.
-type orphanedEnd struct {
-	step     int
-	index    int
-	done     bool
-	holder   string
-	end      coordinator.End
-	received time.Time
-}
-
-// takeover is a takeover, in progress, of the jobs of one holder.
-type takeover struct {
-	// sent holds the incarnations, by entry name, to which the claim was sent and which
-	// have not answered it since, answered the last answers.
-	sent     map[string]string
-	answered map[string]claimAnswer
-}
-
-// claimAnswer is the answer of an entry to a claim.
-type claimAnswer struct {
-	incarnation string
-	// view is the one from which the entry had computed which upstreams it owns, 0 if
-	// unknown.
-	view divider.View
-}
-
-// covers reports whether an entry has answered for all upstreams that it owns by a view.
-func (a claimAnswer) covers(incarnation string, view divider.View) bool {
-	return a.incarnation == incarnation && (a.view == view || a.view == 0)
-}
-
-// OrphanedEnd implements coordinator.Keeper.
-func (k *Keeper) OrphanedEnd(id string, step, index int, done bool, holder string, e coordinator.End) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	j := k.jobs[id]
-	if j != nil && j.storedState == wire.KeptJob_open && j.record.GetHolder() != k.Identity.Holder() {
-		// The holder under which this entry ran the job was lost, so the job is
-		// about to be abandoned here.
-		j = nil
-	}
-	switch {
-	case j == nil && (holder == "" || holder != k.Identity.Holder()):
-		k.addOrphan(id, orphanedEnd{step: step, index: index, done: done, holder: holder, end: e, received: time.Now()})
-	case j != nil && (slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e)):
-	case j != nil && k.recordLateEnd(j, step, index, done, e):
-	default:
-		// The result is already stored, or the job has ended.
-		go k.Jobs.ReleaseEnds([]coordinator.End{e})
-	}
-}
-
-// addOrphan adds an orphaned end of a job unless it is held already; the caller holds
-// the lock.
-func (k *Keeper) addOrphan(id string, s orphanedEnd) {
-	if !slices.ContainsFunc(k.orphans[id], func(o orphanedEnd) bool { return o.end == s.end }) {
-		k.orphans[id] = append(k.orphans[id], s)
-	}
-}
-
-// recordLateEnd records the result of a run that the coordinator no longer waits
-// for: the end was reported after the job was taken over or the run was taken for
-// lost. It returns false if the job has ended, the task is done already or the record
-// counts the failed run. The caller holds the lock.
-func (k *Keeper) recordLateEnd(j *keptJob, step, index int, done bool, e coordinator.End) bool {
-	n, ok := taskNumber(j.record, step, index)
-	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) || (!done && j.countsFailure(n, e.Run)) {
-		return false
-	}
-	k.recordTaskEnd(j, n, done, e)
-	if done {
-		go k.Jobs.MarkDone(j.id, int(n))
-	} else {
-		go k.Jobs.MarkFailed(j.id, int(n))
-	}
-	return true
-}
-
 // TriggerReview makes Run check for open jobs whose holder is gone.
 func (k *Keeper) TriggerReview() {
 	select {
@@ -282,64 +195,6 @@
 	}()
 }
 
-// sendClaims sends the claim on a holder to every registered entry that has not got it
-// yet, or has answered it before the owners of the upstreams changed. It reports whether
-// the answers of all registered entries cover all upstreams.
-func (k *Keeper) sendClaims(holder string) bool {
-	names := k.Peers.Incarnations()
-	view := divider.NewView(names)
-	k.mu.Lock()
-	t := k.takeovers[holder]
-	var unsent []string
-	allAnswered := len(names) > 0
-	for name, incarnation := range names {
-		if t.answered[name].covers(incarnation, view) {
-			continue
-		}
-		allAnswered = false
-		if t.sent[name] != incarnation {
-			unsent = append(unsent, name)
-		}
-	}
-	k.mu.Unlock()
-	for _, name := range unsent {
-		k.Peers.Claim(name, holder)
-	}
-	return allAnswered
-}
-
-// ClaimAnswered records that an entry has answered the claim on a holder: it
-// has stopped the holder's runs on the upstreams that it owns by a view, and reported
-// their ends. The view is 0 if unknown.
-func (k *Keeper) ClaimAnswered(peer, incarnation, holder string, view divider.View) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t := k.takeovers[holder]; t != nil {
-		t.answered[peer] = claimAnswer{incarnation, view}
-		delete(t.sent, peer)
-	}
-}
-
-// ClaimSent records that the claim on a holder was sent to this incarnation of an
-// entry, so that it is not sent again until the entry has answered.
-func (k *Keeper) ClaimSent(peer, incarnation, holder string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if t := k.takeovers[holder]; t != nil {
-		t.sent[peer] = incarnation
-	}
-}
-
-// ResendClaims makes unanswered claims be sent again to an entry whose
-// connection was lost.
-func (k *Keeper) ResendClaims(peer string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, t := range k.takeovers {
-		delete(t.sent, peer)
-	}
-}
-
 // takeOverJobs takes over all open jobs of a lost holder and returns their number.
 func (k *Keeper) takeOverJobs(ctx context.Context, holder string) (int, error) {
 	self, err := k.Identity.EnsureHolder(ctx)
@@ -398,98 +253,6 @@
 	})
 }
 
-// recordOrphans adds the ends of a job's runs that were reported before its takeover to
-// the record. The former holder may have stored a failed run without releasing its end;
-// the record tells which runs it counts. One written by an earlier version may count
-// some without telling which: as many reported ones are taken to be among them.
-func (j *keptJob) recordOrphans(ends []orphanedEnd) {
-	unnamed := maps.Clone(j.record.GetFailures())
-	for _, f := range j.record.GetFailedRuns() {
-		if unnamed[f.GetTask()] > 0 {
-			unnamed[f.GetTask()]--
-		}
-	}
-	for _, s := range ends {
-		j.pendingEnds = append(j.pendingEnds, s.end)
-		n, ok := taskNumber(j.record, s.step, s.index)
-		switch {
-		case !ok || (!s.done && j.countsFailure(n, s.end.Run)):
-		case !s.done && unnamed[n] > 0:
-			unnamed[n]--
-		default:
-			j.recordEnd(n, s.done, s.end.Run)
-		}
-	}
-}
-
-// restoreOrphans puts back the ends of a job whose record could not be written.
-func (k *Keeper) restoreOrphans(id string, ends []orphanedEnd) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, s := range ends {
-		k.addOrphan(id, s)
-	}
-}
-
-// dropOrphans drops the ends of a holder's runs that were not added to any record,
-// which their upstreams may then forget.
-func (k *Keeper) dropOrphans(holder string) {
-	k.mu.Lock()
-	var dropped []coordinator.End
-	for id, ends := range k.orphans {
-		for _, s := range ends {
-			if s.holder == holder {
-				dropped = append(dropped, s.end)
-			}
-		}
-		k.setOrphans(id, slices.DeleteFunc(ends, func(s orphanedEnd) bool { return s.holder == holder }))
-	}
-	k.mu.Unlock()
-	k.Jobs.ReleaseEnds(dropped)
-}
-
-// setOrphans replaces the orphaned ends of a job; the caller holds the lock.
-func (k *Keeper) setOrphans(id string, ends []orphanedEnd) {
-	if len(ends) == 0 {
-		delete(k.orphans, id)
-		return
-	}
-	k.orphans[id] = ends
-}
-
-// settleOrphans releases the old ends that no record needs any more: their jobs have
-// ended, or their records include them. Until then their upstreams list them.
-func (k *Keeper) settleOrphans(ctx context.Context) {
-	k.mu.Lock()
-	var ids []string
-	for id, ends := range k.orphans {
-		if time.Since(ends[0].received) > settleAfter && len(ids) < maxSettled {
-			ids = append(ids, id)
-		}
-	}
-	k.mu.Unlock()
-	for _, id := range ids {
-		record, revision, err := k.read(ctx, id)
-		if err != nil {
-			k.Log.Debug().Str("job", id).Err(err).Msg("orphaned_ends_unsettled")
-			return
-		}
-		ended := revision == 0 || record.GetState() != wire.KeptJob_open
-		k.mu.Lock()
-		var settled []coordinator.End
-		k.setOrphans(id, slices.DeleteFunc(k.orphans[id], func(s orphanedEnd) bool {
-			n, ok := taskNumber(record, s.step, s.index)
-			if !ended && ok && !(s.done && slices.Contains(record.GetDone(), n)) {
-				return false
-			}
-			settled = append(settled, s.end)
-			return true
-		}))
-		k.mu.Unlock()
-		k.Jobs.ReleaseEnds(settled)
-	}
-}
-
 // AbandonOpenJobs abandons all open jobs after the holder of this entry was
 // lost. The entry that takes them over runs them again.
 func (k *Keeper) AbandonOpenJobs() {
