--- a/lib/coordinator/kept_test.go
+++ b/lib/coordinator/kept_test.go
@@ -107,3 +107,51 @@
 		})
 	}
 }
+
+// Guards against refusals that last long after a power loss: jobs that are overdue rank behind
+// new ones, so these are accepted and end in time, unless there are so many overdue ones that
+// they would not end soon after the callers have left.
+func TestOverdueJobsDoNotRefuseNewOnes(t *testing.T) {
+	for name, c := range map[string]struct {
+		overdue int
+		refused bool
+	}{
+		"a few seconds of overdue jobs": {30, false},
+		"too many overdue jobs":         {100, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, ctx context.Context) {
+				s := newTestEntry(ctx, 2)
+				k := &memoryKeeper{ended: make(map[string]time.Time)}
+				s.Keeper = k
+				s.fleet.RunTime = func(string) time.Duration { return 500 * time.Millisecond }
+				job := func(id string, arrived time.Time) coordinator.Job {
+					return coordinator.Job{
+						ID: id, Kind: "check", Service: "claims", Steps: []coordinator.Step{{Tasks: 2, Need: need, Expected: 500 * time.Millisecond}},
+						Arrived: arrived, Due: arrived.Add(time.Second), MaxFailures: 3, Holder: "entry-1@1",
+					}
+				}
+				long := time.Now().Add(-time.Minute)
+				for i := range c.overdue {
+					s.SubmitKept(job(fmt.Sprintf("late-%d", i), long))
+				}
+				time.Sleep(2 * time.Second)
+				now := time.Now()
+				a, refused := s.Refuses(job("new", now))
+				if refused != c.refused {
+					t.Fatalf("refused=%v (%+v), want %v", refused, a, c.refused)
+				}
+				if refused {
+					return
+				}
+				s.SubmitKept(job("new", now))
+				time.Sleep(3 * time.Second)
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				if at, ended := k.ended["new"]; !ended || at.Sub(now) > 2*time.Second {
+					t.Errorf("the new job ended: %v, after %v; want within 2 s", ended, at.Sub(now))
+				}
+			})
+		})
+	}
+}
