--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -20,9 +20,6 @@
 	// the time from its arrival to its due time; a result later than that is
 	// worth nothing.
 	keptWaitFactor = overdueFactor
-	// maxBacklog limits the wait for a kept job's start if all accepted jobs went before
-	// it. Overdue jobs don't, but they must end soon after the callers have left.
-	maxBacklog = 10 * time.Second
 )
 
 // End identifies a kept job's run that ended and that its upstream still lists.
@@ -182,7 +179,7 @@
 
 // Refuses reports whether a job must not be accepted as a kept one, and the answer
 // to its caller: the tasks of one of its steps are too large for any upstream, or
-// the waiting jobs that go before it, or all of them, take too long to start.
+// the waiting jobs take too long to start.
 func (c *Coordinator) Refuses(in Job) (Answer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,26 +188,12 @@
 	if !j.fitsUpstreams() {
 		return c.refuse(j, noLargeUpstream), true
 	}
-	all := c.backlog()
-	wait := all - c.overdueBacklog(in.Arrived)
-	if wait <= keptWaitFactor*in.Due.Sub(in.Arrived) && all <= maxBacklog {
-		return Answer{}, false
+	if wait := c.backlog(); wait > keptWaitFactor*in.Due.Sub(in.Arrived) {
+		a := Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)}
+		c.recordAnswer(j, a)
+		return a, true
 	}
-	a := Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(max(wait, all-maxBacklog))}
-	c.recordAnswer(j, a)
-	return a, true
-}
-
-// overdueBacklog returns the part of the backlog that is due to kept jobs that are
-// overdue, which rank behind all others; the caller holds the lock.
-func (c *Coordinator) overdueBacklog(now time.Time) time.Duration {
-	sum := 0.0
-	for _, j := range c.waiting {
-		if j.fitsUpstreams() && lateFactor(j, now) == overdueWeight {
-			sum += workOf(&j.Job)
-		}
-	}
-	return time.Duration(sum / max(c.startRate, minStartRate) * float64(time.Second))
+	return Answer{}, false
 }
 
 // suspended reports whether no tasks of a job may be placed now, because another
