--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -20,6 +20,9 @@
 	// the time from its arrival to its due time; a result later than that is
 	// worth nothing.
 	keptWaitFactor = overdueFactor
+	// failedTooOftenReason is the reason of the failure of a job of which a task failed
+	// MaxFailures times.
+	failedTooOftenReason = "a task failed too often"
 )
 
 // End identifies a kept job's run that ended and that its upstream still lists.
@@ -76,10 +79,6 @@
 	c.Wake()
 }
 
-// failedTooOftenReason is the reason of the failure of a job of which a task failed
-// MaxFailures times.
-const failedTooOftenReason = "a task failed too often"
-
 // failedTooOften reports whether a task failed MaxFailures times.
 func (j *job) failedTooOften() bool {
 	for _, t := range j.tasks {
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -301,8 +301,8 @@
 
 // chooseUpstreams returns upstreams for the tasks of a step that can start now. It
 // returns none unless all tasks fit, or capacity for the others is expected to come
-// free soon enough, at the rate of recent starts or as the first tasks end. A started job goes before all waiting ones, so that jobs of many
-// tasks are not starved by jobs of few.
+// free soon enough, at the rate of recent starts or as the first tasks end. A started job
+// goes before all waiting ones, so that jobs of many tasks are not starved by jobs of few.
 func (c *Coordinator) chooseUpstreams(j *job, tasks []*task, remaining time.Duration, now time.Time) []string {
 	if len(tasks) == 0 {
 		return nil
