Start only kept jobs in parts at the rate of their own tasks

Cause: the mending let all jobs begin in parts as soon as their own tasks would free enough. Under a shortage jobs of few, large tasks then begin early and keep the others waiting.

Change: only kept jobs count their own tasks.

TestWideKeptJobStartsOnIdleFleet and the other tests of package coordinator pass.

--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -301,8 +301,8 @@
 
 // chooseUpstreams returns upstreams for the tasks of a step that can start now. It
 // returns none unless all tasks fit, or capacity for the others is expected to come
-// free soon enough, at the rate of recent starts or as the first tasks end. A started job
-// goes before all waiting ones, so that jobs of many tasks are not starved by jobs of few.
+// free soon enough. A started job goes before all waiting ones, so that jobs of many
+// tasks are not starved by jobs of few.
 func (c *Coordinator) chooseUpstreams(j *job, tasks []*task, remaining time.Duration, now time.Time) []string {
 	if len(tasks) == 0 {
 		return nil
@@ -314,9 +314,13 @@
 	}
 	cores := float64(st.Need.CPU) / 1000
 	missingCores := c.coresForStarted() + float64(len(tasks)-len(chosen))*cores
-	// On an idle fleet only the job's own tasks make capacity come free.
-	ownRate := float64(len(chosen)) * cores / st.expected().Seconds()
-	wait := missingCores / max(c.startedCores.rate(now), ownRate, minStartRate)
+	rate := max(c.startedCores.rate(now), minStartRate)
+	if j.kept() {
+		// A kept job has to run also on an idle fleet, where only its own tasks make
+		// capacity come free.
+		rate = max(rate, float64(len(chosen))*cores/st.expected().Seconds())
+	}
+	wait := missingCores / rate
 	if wait > (remaining - c.shortestTimeToEnd(j)).Seconds() {
 		return nil
 	}
