Write out the queue of log events before an entry ends

Events go to the queue of logger.NewAsync, and nothing wrote it out at the end.

NewAsync now also returns a function that does, within 200 ms, as a reader that hangs must not keep the process. The program calls it when the entry has ended. TestLastEventsReachTheOutput needs that function; without its call the output is empty.

--- a/lib/logger/logger.go
+++ b/lib/logger/logger.go
@@ -36,16 +36,38 @@
 // about ten seconds of events of a busy entry.
 const queueLength = 2000
 
+// flushTimeout bounds how long the end of a process waits for a reader of its log.
+const flushTimeout = 200 * time.Millisecond
+
 // NewAsync is like New, but logging never blocks on w. Events that do not fit
-// into the queue are dropped, and onDropped is called with their number.
-func NewAsync(w io.Writer, level string, onDropped func(n int)) (zerolog.Logger, error) {
+// into the queue are dropped, and onDropped is called with their number. The
+// returned function writes out the queue, for at most 200 ms; events that are logged
+// after its call are lost.
+func NewAsync(w io.Writer, level string, onDropped func(n int)) (zerolog.Logger, func(), error) {
 	l, err := New(w, level)
 	if err != nil {
-		return l, err
+		return l, nil, err
+	}
+	queue := diode.NewWriter(unclosable{newConsoleWriter(w)}, queueLength, 0, onDropped)
+	flush := func() {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			// Close only fails if the wrapped writer can be closed.
+			_ = queue.Close()
+		}()
+		select {
+		case <-done:
+		case <-time.After(flushTimeout):
+		}
 	}
-	return l.Output(diode.NewWriter(newConsoleWriter(w), queueLength, 0, onDropped)), nil
+	return l.Output(queue), flush, nil
 }
 
+// unclosable hides the Close method of a writer, so that closing the queue leaves the
+// output open.
+type unclosable struct{ io.Writer }
+
 // newConsoleWriter returns a writer that formats events as key=value pairs.
 func newConsoleWriter(w io.Writer) zerolog.ConsoleWriter {
 	return zerolog.ConsoleWriter{
--- a/lib/logger/logger_test.go
+++ b/lib/logger/logger_test.go
@@ -17,7 +17,7 @@
 	defer func() { _ = r.Close() }()
 	var mu sync.Mutex
 	dropped := 0
-	log, err := logger.NewAsync(w, "info", func(n int) {
+	log, flush, err := logger.NewAsync(w, "info", func(n int) {
 		mu.Lock()
 		defer mu.Unlock()
 		dropped += n
@@ -37,6 +37,11 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("logging blocks while its output is not read")
 	}
+	flushed := time.Now()
+	flush()
+	if d := time.Since(flushed); d > 10*time.Second {
+		t.Errorf("flush waited %v for an output that is not read", d)
+	}
 	// The drops are reported once the output is read again.
 	go func() { _, _ = io.Copy(io.Discard, r) }()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -50,6 +55,22 @@
 	t.Error("10,000 events were logged to a queue of 2,000, but none was reported as dropped")
 }
 
+func TestLastEventsReachTheOutput(t *testing.T) {
+	for range 100 {
+		var out strings.Builder
+		log, flush, err := logger.NewAsync(&out, "info", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.Info().Msg("draining")
+		log.Info().Msg("stopped")
+		flush()
+		if got := out.String(); !strings.Contains(got, "event=draining") || !strings.Contains(got, "event=stopped") {
+			t.Fatalf("got %q", got)
+		}
+	}
+}
+
 func TestFormat(t *testing.T) {
 	var out strings.Builder
 	log, err := logger.New(&out, "info")
--- a/radishweir/main.go
+++ b/radishweir/main.go
@@ -111,7 +111,7 @@
 	// The entry sets the global level from its settings, which may change while
 	// it runs, so the logger itself lets every level pass.
 	missed := &atomic.Int64{}
-	log, err := logger.NewAsync(os.Stdout, zerolog.LevelDebugValue, func(n int) { missed.Add(int64(n)) })
+	log, flush, err := logger.NewAsync(os.Stdout, zerolog.LevelDebugValue, func(n int) { missed.Add(int64(n)) })
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +122,19 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	e.SettingsPath, e.Hangups = path, hangups
-	return e, nil
+	return &loggingEntry{entry: e, flush: flush}, nil
+}
+
+// loggingEntry writes out the queue of the entry's logger when the entry has ended.
+type loggingEntry struct {
+	entry
+	flush func()
+}
+
+// Run implements entry.
+func (e *loggingEntry) Run(ctx context.Context, signals <-chan os.Signal) error {
+	defer e.flush()
+	return e.entry.Run(ctx, signals)
 }
 
 // fail prints err on one line and exits.
