Report requests that arrive and get no answer

Requests end without an answer around stops, and the logs cannot tell whether the server for callers drops them, or the process ends with them. net/http says nothing of a request that it read while it shuts down, and does not look at what has arrived on a connection that it takes to be idle.

The new package drainer follows each connection: nothing read, something read, or with the handler. A connection that is closed with unread bytes, or after a read without a call of the handler, leaves a request_dropped event and counts in radishweir_dropped_requests_total. The drain logs what the open connections carry when their closing begins and when its limit cuts it short. No decision is changed.

--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -45,6 +45,7 @@
 	takeovers          prometheus.Counter
 	delegations        *prometheus.CounterVec
 	suppressedLogLines *prometheus.CounterVec
+	droppedRequests    *prometheus.CounterVec
 	queueKinds         labelLimiter
 }
 
@@ -81,6 +82,7 @@
 			Namespace: namespace, Name: "upstream_takeovers_total", Help: "Upstreams that this entry became the owner of.",
 		}),
 		delegations:        counter("delegations_total", "Jobs handed to other entries, by step.", "result"),
+		droppedRequests:    counter("dropped_requests_total", "Requests that arrived and got no answer, by state of their connection.", "state"),
 		suppressedLogLines: counter("log_lines_left_out_total", "Lines about jobs left out to bound the volume of logs.", "state"),
 		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
@@ -132,6 +134,9 @@
 // because of the limit on log volume.
 func (r *Recorder) LogLineSuppressed(state string) { r.suppressedLogLines.WithLabelValues(state).Inc() }
 
+// RequestDropped counts one request that arrived and got no answer.
+func (r *Recorder) RequestDropped(state string) { r.droppedRequests.WithLabelValues(state).Inc() }
+
 // Order counts one order to a leased upstream.
 func (r *Recorder) Order(kind, result string) {
 	r.orders.WithLabelValues(kind, result).Inc()
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -27,6 +27,7 @@
 
 	"radishweir.org/lib/committer"
 	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/enroller"
 	"radishweir.org/lib/evacuator"
 	"radishweir.org/lib/keeper"
@@ -94,7 +95,7 @@
 	keeper          *keeper.Keeper
 	relayer         *relayer.Relayer
 	watchers        []*watcher.Watcher
-	callerServer    *http.Server
+	callerServer    *drainer.Server
 	readinessServer *http.Server
 	operatorServer  *operator.Server
 
@@ -145,7 +146,7 @@
 	e.buildSeparation()
 	e.buildMembership()
 	e.buildKeeper()
-	e.buildServers()
+	e.buildServers(rec)
 	return e, e.messenger.Listen()
 }
 
@@ -207,10 +208,13 @@
 }
 
 // buildServers builds the servers for callers, the load balancer and operators.
-func (e *Entry) buildServers() {
-	e.callerServer = &http.Server{
-		Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
-		Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.keeper, Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
+func (e *Entry) buildServers(rec *recorder.Recorder) {
+	e.callerServer = &drainer.Server{
+		Server: http.Server{
+			Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
+			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.keeper, Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
+		},
+		Observer: rec, Log: e.Log,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -266,12 +270,14 @@
 	work.Go(func() { e.followSettings(ctx) })
 	work.Go(func() { e.exchangeInterference(ctx) })
 	work.Go(func() { e.monitorLag(ctx) })
-	for _, s := range []*http.Server{e.callerServer, e.readinessServer} {
-		l, err := net.Listen("tcp", s.Addr)
+	for addr, serve := range map[string]func(net.Listener) error{
+		e.CallerAddress: e.callerServer.Serve, e.ReadinessAddress: e.readinessServer.Serve,
+	} {
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		go func() { failed <- s.Serve(l) }()
+		go func() { failed <- serve(l) }()
 	}
 	if err := e.operatorServer.Listen(); err != nil {
 		return err
