Drain the callers of the other program by what has arrived, too

The server of callers is now a drainer.Server, and the drain retires it at its begin, so that the answers of the wait for the load balancer close their connections.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -31,6 +31,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/forwarder"
 	"radishweir.org/lib/tracker"
 	"radishweir.org/lib/wire"
@@ -73,6 +74,7 @@
 	Request(service, tenant string, status int)
 	// Response records the time from a submission to its answer.
 	Response(service, tenant string, d time.Duration)
+	drainer.Observer
 }
 
 // Server serves callers. Exported fields are set before Run.
@@ -92,7 +94,7 @@
 
 	tenants  directory
 	listener net.Listener
-	server   *http.Server
+	server   *drainer.Server
 }
 
 // Listen binds the address.
@@ -102,17 +104,20 @@
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
 	s.listener = l
-	s.server = &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	s.server = &drainer.Server{
+		Server: http.Server{
+			Handler:           s.Handler(),
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       bodyTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+		Observer: s.Recorder, Log: s.Log,
 	}
 	return nil
 }
 
-// Run serves until Shutdown. Listen must have been called.
+// Run serves until Drain. Listen must have been called.
 func (s *Server) Run() error {
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve callers")
@@ -120,8 +125,11 @@
 	return nil
 }
 
-// Shutdown refuses new connections and waits for the open requests.
-func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+// Retire makes the server close each connection after its current answer.
+func (s *Server) Retire() { s.server.Retire() }
+
+// Drain refuses new connections and waits until what has arrived is answered.
+func (s *Server) Drain(ctx context.Context) error { return s.server.Drain(ctx) }
 
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
--- a/lib/caller/codec_test.go
+++ b/lib/caller/codec_test.go
@@ -32,6 +32,8 @@
 func (*fakeBackend) Request(string, string, int)            {}
 func (*fakeBackend) Response(string, string, time.Duration) {}
 
+func (*fakeBackend) RequestDropped(string) {}
+
 func (*fakeBackend) Service(name string) *wire.ServiceConfiguration {
 	if name != "s" {
 		return nil
--- a/radishweir/internal/assembler/drain.go
+++ b/radishweir/internal/assembler/drain.go
@@ -31,6 +31,7 @@
 // drain calls stopPlacer when its limit is reached.
 func (e *Entry) drain(ctx context.Context, signals <-chan os.Signal, stopPlacer context.CancelFunc) {
 	e.draining.Store(true)
+	e.callerServer.Retire()
 	ctx, cancel := context.WithTimeout(ctx, loader.Duration(e.DrainLimit))
 	defer cancel()
 	defer context.AfterFunc(ctx, stopPlacer)()
@@ -87,11 +88,11 @@
 func (e *Entry) waitForOpenJobs(ctx context.Context) {
 	closed := make(chan struct{})
 	go func() {
-		if e.callerServer.Shutdown(ctx) != nil {
+		if e.callerServer.Drain(ctx) != nil {
 			e.tracker.CancelAll("the entry was stopped before the job ended")
 			finalCtx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
 			defer cancel()
-			_ = e.callerServer.Shutdown(finalCtx)
+			_ = e.callerServer.Drain(finalCtx)
 		}
 		close(closed)
 	}()
