End idle connections of callers one by one when an entry stops

Cause: all idle connections, up to 35, were ended in one go, and on an entry with 0.144 of a core the look at the first socket and the end of the last connection lie far apart. Now one connection after the other is ended, the least recently used first, over one second; each is looked at right before. The caller sees the end of its connection first, and the entry goes on reading for 0.1 s, so a request that crosses it is counted and logged. The listener stays open meanwhile.

--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -39,6 +39,9 @@
 	since time.Time
 	// ended is true once the caller has ended or broken the connection.
 	ended bool
+	// lingerUntil is when a connection whose caller was told that no answer comes any more is
+	// closed; zero before.
+	lingerUntil time.Time
 	// closed is true once this side closes the connection.
 	closed bool
 }
@@ -102,6 +105,10 @@
 	switch {
 	case err == unix.EAGAIN:
 		return 0, err
+	case n > 0 && !c.lingerUntil.IsZero():
+		c.server.dropped(c, "crossed")
+		c.ended = true
+		return 0, nil
 	case n > 0 && c.state == waiting:
 		c.state, c.since = reading, time.Now()
 	case n <= 0:
@@ -110,20 +117,43 @@
 	return max(n, 0), err
 }
 
-// closeIdle closes the connection if it is certainly idle, and reports whether it is closed.
-func (c *conn) closeIdle(now time.Time) bool {
+// isIdle reports whether the connection is open and idle, but for what was not read yet.
+func (c *conn) isIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return true
+	return c.idle(now)
+}
+
+// idle is isIdle with the lock held.
+func (c *conn) idle(now time.Time) bool {
+	return !c.closed && c.state == waiting && now.Sub(c.since) >= keepAliveTime && !now.Before(c.lingerUntil)
+}
+
+// idleSince returns when the connection became idle.
+func (c *conn) idleSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
+
+// closeIdle closes the connection if it is idle and nothing has arrived. The first call only tells the
+// caller that no answer comes any more, so that what was sent by then is noticed; one after
+// lingerTime closes the connection.
+func (c *conn) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle(now) || c.hasUnread() {
+		return
 	}
-	if c.state != waiting || now.Sub(c.since) < keepAliveTime || c.hasUnread() {
-		return false
+	if c.lingerUntil.IsZero() {
+		c.lingerUntil = now.Add(lingerTime)
+		// It fails only if the connection has ended, which Read reports.
+		_ = c.CloseWrite()
+		return
 	}
 	c.closed = true
-	// The caller's end of the connection is told by the read that the close interrupts.
+	// The read that this interrupts ends the connection for the server.
 	_ = c.TCPConn.Close()
-	return true
 }
 
 // Close implements net.Conn. It reports a request that gets no answer.
@@ -133,9 +163,9 @@
 	if !c.closed && !c.ended {
 		switch {
 		case c.state == reading:
-			c.server.dropped(c, "read", c.since)
+			c.server.dropped(c, "read")
 		case c.state == waiting && c.hasUnread():
-			c.server.dropped(c, "unread", time.Time{})
+			c.server.dropped(c, "unread")
 		}
 	}
 	c.closed = true
--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -22,6 +22,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,11 @@
 	// keepAliveTime is the shortest time for which a connection stays open for the next
 	// request of its caller, who may have sent it already.
 	keepAliveTime = 500 * time.Millisecond
+	// lingerTime is how long a connection that is about to be closed may still receive: above
+	// the time for which a caller's bytes are under way.
+	lingerTime = 100 * time.Millisecond
+	// closeTime is the time over which the closing of idle connections is spread.
+	closeTime = time.Second
 	// drainInterval is the time between two checks for open connections.
 	drainInterval = 20 * time.Millisecond
 )
@@ -55,7 +61,7 @@
 	Log zerolog.Logger
 
 	retired atomic.Bool
-	// acceptedLate counts the connections that were accepted after Drain was called.
+	// acceptedLate counts the connections that the listener's queue held when it stopped.
 	acceptedLate atomic.Int64
 
 	mu       sync.Mutex
@@ -108,15 +114,24 @@
 // are still accepted.
 func (s *Server) Retire() { s.retired.Store(true) }
 
-// Drain accepts the connections that are established already and no further ones, answers
-// what arrives on the open ones, and returns when none is left. If ctx ends before, it returns
-// the error of ctx and leaves the open ones as they are.
+// Drain closes the idle connections over closeTime, then accepts those that are established
+// already and no further ones, answers what arrives on the open ones, and returns when none is
+// left. If ctx ends before, it returns the error of ctx and leaves the open ones as they are.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Retire()
-	s.stopAccepting()
+	closeBy := time.Now().Add(closeTime)
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
-	for s.closeIdle(time.Now()) > 0 {
+	for {
+		now := time.Now()
+		open, listening := s.closeIdle(now, closeBy)
+		if open == 0 || !now.Before(closeBy) {
+			s.stopAccepting()
+		}
+		if open == 0 && !listening {
+			s.logEnd("connections_closed")
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			s.logEnd("connections_left")
@@ -124,36 +139,36 @@
 		case <-t.C:
 		}
 	}
-	s.logEnd("connections_closed")
-	return nil
 }
 
-// logEnd writes an event with what the connections carry at the end of a drain and how many
-// of them were accepted after its begin.
-func (s *Server) logEnd(event string) {
-	idle, read, served := s.Counts()
-	s.Log.Info().Int("idle", idle).Int("read", read).Int("served", served).Int64("accepted_late", s.acceptedLate.Load()).Msg(event)
-}
-
-// closeIdle closes the connections that are certainly idle and returns the number of those
-// that are open, the listener included.
-func (s *Server) closeIdle(now time.Time) int {
+// closeIdle closes some of the idle connections, those that were used least recently first
+// and all of them by closeBy. It returns the number of open connections and whether further
+// ones are accepted.
+func (s *Server) closeIdle(now, closeBy time.Time) (open int, listening bool) {
 	s.mu.Lock()
-	conns := make([]*conn, 0, len(s.conns))
+	idle := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	open := 0
-	if s.listener != nil {
-		open++
+		if c.isIdle(now) {
+			idle = append(idle, c)
+		}
 	}
+	open, listening = len(s.conns), s.listener != nil
 	s.mu.Unlock()
-	for _, c := range conns {
-		if !c.closeIdle(now) {
-			open++
-		}
+	slices.SortFunc(idle, func(a, b *conn) int { return a.idleSince().Compare(b.idleSince()) })
+	// The fewer connections are closed at a time, the shorter is the time in which a request
+	// may cross the end of its connection.
+	rounds := max(1, int(closeBy.Sub(now)/drainInterval))
+	for _, c := range idle[:(len(idle)+rounds-1)/rounds] {
+		c.closeIdle(now)
 	}
-	return open
+	return open, listening
+}
+
+// logEnd writes an event with what the connections carry at the end of a drain and how many
+// were accepted after the listener stopped.
+func (s *Server) logEnd(event string) {
+	idle, read, served := s.Counts()
+	s.Log.Info().Int("idle", idle).Int("read", read).Int("served", served).Int64("accepted_late", s.acceptedLate.Load()).Msg(event)
 }
 
 // follow is the http.Server.ConnState of this server.
@@ -190,12 +205,8 @@
 	return idle, read, served
 }
 
-// dropped reports a request that arrived at c and gets no answer.
-func (s *Server) dropped(c *conn, state string, since time.Time) {
+// dropped reports a request that arrived at c and gets no answer. The lock of c is held.
+func (s *Server) dropped(c *conn, state string) {
 	s.Observer.RequestDropped(state)
-	e := s.Log.Warn().Str("address", c.RemoteAddr().String()).Str("state", state)
-	if !since.IsZero() {
-		e = e.Int64("after_ms", time.Since(since).Milliseconds())
-	}
-	e.Msg("request_dropped")
+	s.Log.Warn().Str("address", c.RemoteAddr().String()).Str("state", state).Int64("after_ms", time.Since(c.since).Milliseconds()).Msg("request_dropped")
 }
--- a/lib/drainer/drainer_test.go
+++ b/lib/drainer/drainer_test.go
@@ -271,3 +271,71 @@
 		t.Errorf("a retired server refused a new connection: %v", err)
 	}
 }
+
+// count returns the number of dropped requests by state.
+func (d *drops) count(state string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.n[state]
+}
+
+func TestRequestThatCrossesTheEndOfItsConnectionIsReported(t *testing.T) {
+	l := listen(t)
+	s := serve(t, l, 0)
+	c := callers(t, l, 1, true)[0]
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	if _, err := c.receive(); err == nil {
+		t.Fatal("an idle connection got an answer")
+	}
+	if err := c.send(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("the drain ended with %v", err)
+	}
+	if n := s.Observer.(*drops).count("crossed"); n != 1 {
+		t.Errorf("%d requests were reported, want 1", n)
+	}
+}
+
+func TestIdleConnectionsDoNotEndAllAtOnceWhenTheServerStops(t *testing.T) {
+	l := listen(t)
+	s := serve(t, l, 0)
+	const n = 40
+	all := callers(t, l, n, true)
+	type result struct {
+		caller *caller
+		err    error
+	}
+	results := make(chan result, n)
+	for _, c := range all {
+		go func() {
+			_, err := c.receive()
+			results <- result{c, err}
+		}()
+	}
+	time.Sleep(time.Second)
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	first := <-results
+	time.Sleep(10 * time.Millisecond)
+	for _, c := range all {
+		if c != first.caller {
+			// It fails if the connection has ended, which receive reports.
+			_ = c.send()
+		}
+	}
+	answered := 0
+	for range n - 1 {
+		if r := <-results; r.err == nil {
+			answered++
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("the drain ended with %v", err)
+	}
+	if answered < n/2 {
+		t.Errorf("%d of %d requests that were sent after the end of another connection got an answer", answered, n-1)
+	}
+}
--- a/lib/drainer/listener.go
+++ b/lib/drainer/listener.go
@@ -38,6 +38,9 @@
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
 	s.stopping = true
 	if s.listener != nil {
 		s.listener.expire()
