Drain: answer the jobs that are open at its limit

What callers saw: no answer. A best-effort job that was open when the drain reached its limit ended with the connection of its caller, as the process ended; its runs went on until their lease lapsed.

Cause: drain only waited for the callers. Nothing ended the open jobs, here or at a peer.

Why it works: the deadlines of a drain are computed once at its start. 0.5 s before the limit is the deadline of every open best-effort job, by the path that ends jobs at their callers' deadlines: not begun, 503 with Retry-After; begun or at a peer, 504, and runs and delegations are cancelled while the peers are still connected. A job that waits at a peer which stops is refused there, and goes on at the entry of its caller.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -117,6 +117,9 @@
 	// jobs; empty if it may place none.
 	holder  string
 	waiting []*job
+	// stopAt is the time by which all best-effort jobs are answered; zero unless this
+	// entry stops.
+	stopAt time.Time
 	// upstreams holds the listed and the recently unlisted upstreams by name,
 	// services only the listed ones by service, and addresses those with the latest
 	// incarnation by address.
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -101,8 +101,11 @@
 			continue
 		}
 		a := Answer{State: Expired, Reason: "the caller's deadline passed"}
+		if c.limitedByStop(j) {
+			a.Reason = stopReason
+		}
 		if !j.started && j.delegate == "" {
-			a = Answer{State: Refused, Reason: "the caller's deadline passed", RetryAfter: retryAfter(c.backlog())}
+			a.State, a.RetryAfter = Refused, retryAfter(c.backlog())
 		}
 		out = append(out, c.close(j, a)...)
 	}
@@ -194,9 +197,7 @@
 		}
 		if remaining < c.shortestTimeToEnd(j) {
 			c.refusedAt = now
-			out = append(out, c.close(j, Answer{
-				State: Refused, Reason: "no room in time", RetryAfter: retryAfter(c.backlog()),
-			})...)
+			out = append(out, c.close(j, c.refusal(j, "no room in time", c.backlog()))...)
 			continue
 		}
 		tasks := tasksOfFirstStep(j.waitingTasks())
@@ -218,7 +219,7 @@
 			}
 			if !j.kept() && wait.Seconds() > maxWaitRatio*(remaining-c.shortestTimeToEnd(j)).Seconds() {
 				c.refusedAt = now
-				out = append(out, c.close(j, Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)})...)
+				out = append(out, c.close(j, c.refusal(j, "the queue is too long", wait))...)
 			}
 			continue
 		}
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -20,7 +20,10 @@
 func (e *Entry) drain(ctx context.Context) {
 	e.draining.Store(true)
 	e.callerServer.Retire()
-	ctx, cancel := context.WithTimeout(ctx, loader.Duration(e.current.Load().DrainLimit))
+	settings := e.current.Load()
+	d := newDrainDeadlines(time.Now(), loader.Duration(settings.DrainLimit), loader.Duration(settings.BalancerWait))
+	e.coordinator.StopAt(d.jobs)
+	ctx, cancel := context.WithDeadline(ctx, d.limit)
 	defer cancel()
 	e.enroller.StopRenewing()
 	deregisterCtx, cancelDeregister := context.WithTimeout(ctx, deregisterTimeout)
--- /dev/null
+++ b/radishweir/internal/composer/drain_test.go
@@ -0,0 +1,156 @@
+package composer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/packer"
+	"radishweir.org/lib/router"
+	"radishweir.org/lib/runner"
+	"radishweir.org/lib/simulator"
+	"radishweir.org/platform/schema"
+)
+
+// balancerWait and drainLimit are those of serving entries.
+const (
+	balancerWait = 300 * time.Millisecond
+	drainLimit   = time.Second
+)
+
+// servingEntry is an entry that serves callers and peers on loopback. It owns one simulated
+// upstream whose runs take ten minutes.
+type servingEntry struct {
+	*Entry
+	upstream *simulator.Fleet
+	callers  string
+	exit     func()
+}
+
+// newServingEntry starts an entry. The end of the process is simulated by exit.
+func newServingEntry(t *testing.T, name string) *servingEntry {
+	t.Helper()
+	s := testSettings()
+	s.Name, s.EntryAddress, s.Delegation = name, freeAddress(t), true
+	s.BalancerWait, s.DrainLimit = balancerWait.String(), drainLimit.String()
+	e, err := New(s, zerolog.Nop(), &atomic.Int64{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := simulator.New()
+	f.Amount = packer.Amount{CPU: 1000, Memory: 1}
+	f.RunTime = func(string) time.Duration { return 10 * time.Minute }
+	f.Add(runner.Upstream{Name: "upstream-of-" + name, Service: "claims", Incarnation: 1, Capacity: packer.Amount{CPU: 16000, Memory: 1024}}, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	e.ctx = ctx
+	e.enroller.Store = &leaseStore{}
+	e.runner.Client = f
+	e.coordinator.Init(ctx)
+	e.router.Apply(router.Table{Version: 1, Queues: []router.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "claims", Timeout: time.Minute, Target: time.Minute}}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = e.callerServer.Serve(l) }()
+	go func() { _ = e.messenger.Run(ctx) }()
+	go e.coordinator.Run(ctx)
+	go e.enroller.Run(ctx)
+	e.coordinator.SetUpstreams(f.List())
+	out := &servingEntry{Entry: e, upstream: f, callers: l.Addr().String()}
+	out.exit = func() {
+		cancel()
+		_ = e.callerServer.Close()
+	}
+	t.Cleanup(out.exit)
+	return out
+}
+
+// freeAddress returns an address on loopback that is not in use.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// own makes the entry the owner of its upstream.
+func (s *servingEntry) own(t *testing.T) {
+	t.Helper()
+	s.runner.SetOwned(s.ctx, 1, s.upstream.List())
+	eventually(t, "the upstream is usable", func() bool { return s.coordinator.Views()[0].Usable })
+}
+
+// callerAnswer is what a caller got; the status is 0 if it got no answer.
+type callerAnswer struct {
+	status     int
+	retryAfter string
+	after      time.Duration
+}
+
+// post submits a best-effort job of one task and returns where the answer arrives.
+func (s *servingEntry) post(t *testing.T, id string, expected time.Duration) <-chan callerAnswer {
+	t.Helper()
+	body, err := json.Marshal(schema.Job{BestEffort: true, Steps: []schema.Step{{Count: 1, CPU: 1000, MemMb: 1, EstimateMs: float64(expected.Milliseconds())}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.callers+"/q/"+id, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h"
+	out, sent := make(chan callerAnswer, 1), time.Now()
+	go func() {
+		c := &http.Client{Transport: &http.Transport{}}
+		resp, err := c.Do(q)
+		if err != nil {
+			out <- callerAnswer{after: time.Since(sent)}
+			return
+		}
+		_ = resp.Body.Close()
+		out <- callerAnswer{resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(sent)}
+	}()
+	return out
+}
+
+// drainAndExit drains the entry and ends its process.
+func (s *servingEntry) drainAndExit() {
+	s.drain(s.ctx)
+	s.exit()
+}
+
+// eventually fails the test unless the condition holds within two seconds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 2 s: %s", what)
+		}
+	}
+}
+
+// Guards against a caller whose connection ends with the process, as its job was open at
+// the drain limit.
+func TestJobOpenAtDrainLimitIsAnswered(t *testing.T) {
+	e := newServingEntry(t, "entry-1")
+	e.own(t)
+	got := e.post(t, "00000000000000aa", 10*time.Second)
+	eventually(t, "the job runs", func() bool { return e.upstream.Running() == 1 })
+	e.drainAndExit()
+	if a := <-got; a.status != http.StatusGatewayTimeout {
+		t.Errorf("got the status %d after %v, want 504", a.status, a.after)
+	}
+	if n := e.upstream.Running(); n != 0 {
+		t.Errorf("%d tasks run after the answer", n)
+	}
+}
