Drain: refuse at once what arrives too late to be served

What callers saw: no answer. A best-effort job that arrived during a drain began even if it could not end before the limit, and its connection ended with the process.

Cause: a new job knew only its caller's deadline, not the end of the entry that took it.

Evidence: TestJobThatWouldOutlastTheDrainIsRefusedAtOnce, without this change: status 0 after 1.02 s, started once. TestJobThatWouldOutlastTheStopDoesNotBegin: the long job begins, and a job after the stop gets no answer.

Why it works: new jobs get the deadline of the drain too. Jobs that fit are served as before.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -258,6 +258,13 @@
 			defer c.mu.Unlock()
 			return c.refuse(j, noLargeUpstream)
 		}
+		c.limitToStop(j)
+		if c.endsAfterStop(j, j.receivedAt) {
+			defer c.mu.Unlock()
+			a := c.refusal(j, stopReason, 0)
+			c.recordAnswer(j, a)
+			return a
+		}
 		c.jobs[j.ID] = j
 		c.enqueue(j)
 	}
--- a/lib/coordinator/stop.go
+++ b/lib/coordinator/stop.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// stopReason is the reason of the answers to jobs that end because this entry stops.
+// stopReason is the reason of the answers to jobs that end, or do not begin, because this
+// entry stops.
 const stopReason = "the entry is stopping"
 
-// StopAt makes the coordinator answer every open best-effort job by the given time. A job
-// that has begun then expires, and its runs are cancelled; any other is refused, and at
-// once if it is not expected to end by then. Kept jobs go on.
+// StopAt makes the coordinator answer every best-effort job by the given time. A job that
+// is not expected to end by then does not begin and is refused at once. A job that is open
+// at that time expires if it has begun, and its runs are cancelled; otherwise it is
+// refused. Kept jobs go on.
 func (c *Coordinator) StopAt(at time.Time) {
 	c.mu.Lock()
 	c.stopAt = at
@@ -32,6 +34,12 @@
 	return !c.stopAt.IsZero() && j.Deadline.Equal(c.stopAt)
 }
 
+// endsAfterStop reports whether a new job is not expected to end before this entry stops;
+// the caller holds the lock.
+func (c *Coordinator) endsAfterStop(j *job, now time.Time) bool {
+	return c.limitedByStop(j) && j.Deadline.Sub(now)-startMargin < c.shortestTimeToEnd(j)
+}
+
 // refusal returns the answer to a job that cannot begin in time, with the expected wait of
 // others like it. If that is because this entry stops, other entries may run the job at once.
 func (c *Coordinator) refusal(j *job, reason string, wait time.Duration) Answer {
--- a/lib/coordinator/stop_test.go
+++ b/lib/coordinator/stop_test.go
@@ -38,6 +38,30 @@
 	})
 }
 
+// Guards against a job that begins although this entry stops before its end, and against the
+// refusal of one that can still be served.
+func TestJobThatWouldOutlastTheStopDoesNotBegin(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, ctx context.Context) {
+		s := newTestEntry(ctx, 2)
+		s.StopAt(time.Now().Add(500 * time.Millisecond))
+		s.submit(ctx, "check", "long", 1, time.Second, 30*time.Second)
+		s.submit(ctx, "check", "short", 1, 100*time.Millisecond, 30*time.Second)
+		time.Sleep(499 * time.Millisecond)
+		if a := s.answerOf(t, "long"); a.state != coordinator.Refused || a.after > 0 || s.fleet.Starts("long.0.0.0") != 0 {
+			t.Errorf("the long job ended as %v after %v with %d starts", a.state, a.after, s.fleet.Starts("long.0.0.0"))
+		}
+		if a := s.answerOf(t, "short"); a.state != coordinator.Complete {
+			t.Errorf("the short job ended as %v", a.state)
+		}
+		time.Sleep(time.Millisecond)
+		s.submit(ctx, "check", "late", 1, time.Millisecond, 30*time.Second)
+		time.Sleep(time.Millisecond)
+		if a := s.answerOf(t, "late"); a.state != coordinator.Refused || s.fleet.Starts("late.0.0.0") != 0 {
+			t.Errorf("the job after the stop ended as %v with %d starts", a.state, s.fleet.Starts("late.0.0.0"))
+		}
+	})
+}
+
 // Guards against a kept job that is stopped by the entry that hands it over.
 func TestKeptJobGoesOnAtStop(t *testing.T) {
 	withFakeTime(t, func(t *testing.T, ctx context.Context) {
--- a/radishweir/internal/composer/drain_test.go
+++ b/radishweir/internal/composer/drain_test.go
@@ -154,3 +154,18 @@
 		t.Errorf("%d tasks run after the answer", n)
 	}
 }
+
+// Guards against a job that begins during the drain although it cannot end before its limit.
+func TestJobThatWouldOutlastTheDrainIsRefusedAtOnce(t *testing.T) {
+	e := newServingEntry(t, "entry-1")
+	e.own(t)
+	time.AfterFunc(balancerWait/2, e.drainAndExit)
+	eventually(t, "the entry drains", e.draining.Load)
+	late := e.post(t, "00000000000000aa", 10*time.Second)
+	if a := <-late; a.status != http.StatusServiceUnavailable || a.retryAfter == "" || a.after > balancerWait/2 {
+		t.Errorf("got the status %d, retry after %q, after %v; want 503 with a time to retry at once", a.status, a.retryAfter, a.after)
+	}
+	if n := e.upstream.Starts("00000000000000aa.0.0.0"); n != 0 {
+		t.Errorf("the refused job was started %d times", n)
+	}
+}
