Drain: end at its limit while the store is stuck

What callers saw: nothing by itself, but a process that is killed with all that is still open. With the defaults a drain took up to 6.5 s, and SIGKILL comes after 6 s; the wait for the balancer began only once the registration was removed, so a slow store took up to 1 s from the open requests.

Cause: the release of the holder had a second of its own after the limit, and callers, kept jobs and runs shared one limit, so that the first of them left nothing to the others.

Evidence: TestDrainEndsInTimeWhileTheStoreIsStuck, before: 2 s with a holder where the limit is 1 s, and 2.1 s without one where the balancer knows after 1.1 s. What did not show: a holder that is never released as callers use up the limit. It was released, after the limit.

Why it works: the wait for the balancer counts from SIGTERM, when the readiness check begins to fail.

--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -25,22 +25,24 @@
 	e.coordinator.StopAt(d.jobs)
 	ctx, cancel := context.WithDeadline(ctx, d.limit)
 	defer cancel()
+	work, cancelWork := context.WithDeadline(ctx, d.work)
+	defer cancelWork()
 	e.enroller.StopRenewing()
-	deregisterCtx, cancelDeregister := context.WithTimeout(ctx, deregisterTimeout)
+	deregisterCtx, cancelDeregister := context.WithTimeout(work, deregisterTimeout)
 	if err := e.enroller.Deregister(deregisterCtx); err != nil {
 		e.Log.Warn().Err(err).Msg("registration_not_removed")
 	}
 	cancelDeregister()
 	select {
-	case <-ctx.Done():
-	case <-time.After(loader.Duration(e.current.Load().BalancerWait)):
+	case <-work.Done():
+	case <-time.After(time.Until(d.balancer)):
 	}
-	if err := e.callerServer.Drain(ctx); err != nil {
+	if err := e.callerServer.Drain(work); err != nil {
 		open, _ := e.coordinator.Counts()
 		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
 	}
-	e.drainKeptJobs(ctx)
-	e.drainRuns(ctx)
+	e.drainKeptJobs(ctx, d.work)
+	e.drainRuns(work)
 }
 
 // drainRuns waits for the runs of other entries and the jobs that they delegated.
--- a/radishweir/internal/composer/drain_test.go
+++ b/radishweir/internal/composer/drain_test.go
@@ -169,3 +169,35 @@
 		t.Errorf("the refused job was started %d times", n)
 	}
 }
+
+// Guards against a process that is killed as its drain waits for the store beyond the limit,
+// and against a wait for the store that comes on top of that for the balancer.
+func TestDrainEndsInTimeWhileTheStoreIsStuck(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit, wait string
+		holder      bool
+		end         time.Duration
+	}{
+		"with a holder":    {"1s", "300ms", true, time.Second},
+		"without a holder": {"10s", "1100ms", false, 1100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withOwner(t, func(t *testing.T, e *Entry, _ *simulator.Fleet) {
+				s := *e.current.Load()
+				s.DrainLimit, s.BalancerWait = c.limit, c.wait
+				e.current.Store(&s)
+				if c.holder {
+					if _, err := e.enroller.EnsureHolder(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+				e.enroller.Store.(*leaseStore).stuck.Store(true)
+				began := time.Now()
+				e.drain(e.ctx)
+				if took := time.Since(began); took > c.end {
+					t.Errorf("drained in %v, want %v", took, c.end)
+				}
+			})
+		})
+	}
+}
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -213,13 +213,13 @@
 	return e.pending.sum(queue, e.enroller.HadHolder)
 }
 
-// drainKeptJobs waits for the kept jobs to end and then releases the holder, so
-// that other entries take over the jobs that are still open.
-func (e *Entry) drainKeptJobs(ctx context.Context) {
-	for ctx.Err() == nil && e.keeper.OpenJobs() > 0 {
+// drainKeptJobs waits for the kept jobs to end, at most until the given time, and then
+// releases the holder, so that other entries take over the jobs that are still open.
+func (e *Entry) drainKeptJobs(ctx context.Context, until time.Time) {
+	for ctx.Err() == nil && time.Now().Before(until) && e.keeper.OpenJobs() > 0 {
 		time.Sleep(drainInterval)
 	}
-	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	releaseCtx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	if err := e.enroller.ReleaseHolder(releaseCtx); err != nil {
 		e.Log.Warn().Err(err).Msg("holder_not_removed")
--- a/radishweir/internal/composer/unregistered_test.go
+++ b/radishweir/internal/composer/unregistered_test.go
@@ -17,10 +17,12 @@
 	"radishweir.org/lib/watcher"
 )
 
-// leaseStore is a store that grants and renews leases while it is reachable.
+// leaseStore is a store that grants and renews leases while it is reachable. While it is
+// stuck it answers no write.
 type leaseStore struct {
 	platform.Store
-	down atomic.Bool
+	down  atomic.Bool
+	stuck atomic.Bool
 }
 
 var errStoreDown = errors.New("the store is down")
@@ -39,7 +41,11 @@
 	return true, nil
 }
 
-func (s *leaseStore) Swap(context.Context, ...platform.Write) (int64, error) {
+func (s *leaseStore) Swap(ctx context.Context, _ ...platform.Write) (int64, error) {
+	if s.stuck.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	if s.down.Load() {
 		return 0, errStoreDown
 	}
