Tests: jobs that two entries share end when one of them stops

What callers saw: no answer from an entry that stops while a peer runs their job, delegated or on an upstream that the peer owns. If the peer stops, the caller gets 504 as the connection breaks, but the runs go on until their lease lapses, beside those of the job when it is submitted again.

--- a/radishweir/internal/composer/drain_test.go
+++ b/radishweir/internal/composer/drain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"radishweir.org/lib/messenger"
 	"radishweir.org/lib/packer"
 	"radishweir.org/lib/router"
 	"radishweir.org/lib/runner"
@@ -53,7 +54,7 @@
 	e.enroller.Store = &leaseStore{}
 	e.runner.Client = f
 	e.coordinator.Init(ctx)
-	e.router.Apply(router.Table{Version: 1, Queues: []router.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "claims", Timeout: time.Minute, Target: time.Minute}}})
+	e.router.Apply(router.Table{Version: 1, Queues: []router.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "claims", Timeout: time.Minute, Target: 200 * time.Millisecond, Stretch: 1}}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -201,3 +202,54 @@
 		})
 	}
 }
+
+// newLinkedEntries starts two entries that are connected. The job of a caller of the first
+// runs on the upstream of the second: after the first has delegated it, or on its own order.
+func newLinkedEntries(t *testing.T, delegated bool) (first, second *servingEntry) {
+	t.Helper()
+	first, second = newServingEntry(t, "entry-1"), newServingEntry(t, "entry-2")
+	second.own(t)
+	if !delegated {
+		first.coordinator.SetUpstreams(second.upstream.List())
+	}
+	for _, s := range [][2]*servingEntry{{first, second}, {second, first}} {
+		s[0].messenger.SetPeers(s[0].ctx, map[string]messenger.Peer{s[1].Name: {Address: s[1].EntryAddress, Near: true}})
+		s[0].coordinator.SetDomains(map[string]string{s[1].Name: "domain-2"})
+		s[0].coordinator.SetNear(map[string]bool{s[1].Name: true})
+	}
+	eventually(t, "the entries are connected", func() bool {
+		return first.coordinator.Reachable(second.Name) && second.coordinator.Reachable(first.Name)
+	})
+	return first, second
+}
+
+// Guards against a caller whose connection ends with the process, and against runs for which
+// nobody waits: the first entry stops while another one runs its job.
+func TestJobAtPeerIsAnsweredWhenItsEntryStops(t *testing.T) {
+	for name, delegated := range map[string]bool{"delegated": true, "owned": false} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newLinkedEntries(t, delegated)
+			got := first.post(t, "00000000000000aa", time.Second)
+			eventually(t, "the job runs", func() bool { return second.upstream.Running() == 1 })
+			first.drainAndExit()
+			if a := <-got; a.status != http.StatusGatewayTimeout || second.upstream.Running() != 0 {
+				t.Errorf("got the status %d after %v, and %d tasks run; want 504 and none", a.status, a.after, second.upstream.Running())
+			}
+		})
+	}
+}
+
+// Guards against a second run beside the first: the caller of a job may submit it again as
+// soon as it has the answer, which the end of the other entry causes.
+func TestDelegatedJobHasEndedWhenItsEntryStops(t *testing.T) {
+	first, second := newLinkedEntries(t, true)
+	got := first.post(t, "00000000000000aa", time.Second)
+	eventually(t, "the job runs", func() bool { return second.upstream.Running() == 1 })
+	go second.drainAndExit()
+	a := <-got
+	// The lease of the run would last for a second.
+	time.Sleep(200 * time.Millisecond)
+	if a.status != http.StatusGatewayTimeout || second.upstream.Running() != 0 {
+		t.Errorf("got the status %d after %v, and %d tasks run; want 504 and none", a.status, a.after, second.upstream.Running())
+	}
+}
