Drain: answer requests that wait for the store at its limit

What callers saw: no answer to a request that submits, reads or cancels a kept job, if the store was stuck and the drain of the entry reached its limit.

Cause: such requests wait for the store for up to 3 s, or as long as their callers; the end of the drain was unknown to them.

Evidence: TestRequestThatWaitsForTheStoreIsAnsweredAtDrainLimit, before: POST, GET and DELETE got the status 0 after 0.77 s (drain_limit 1 s).

Why it works: by the deadline for best-effort jobs the wait for the store ends too, by the path of requests that wait for too long: 503 with Retry-After where nothing is stored or known, 504 where a write is under way.

--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -116,8 +116,10 @@
 	// from acceptance to end.
 	keptJobsExist atomic.Bool
 	pending       pending
-	received      receivedJobs
-	overload      overload
+	// endCalls ends the wait of callers' requests for the store.
+	endCalls context.CancelFunc
+	received receivedJobs
+	overload overload
 	// interference is nil unless separation is set.
 	interference *runner.Interference
 }
@@ -212,7 +214,7 @@
 	e.callerServer = &drainer.Server{
 		Server: http.Server{
 			Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
-			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.keeper, Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
+			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.newCallerKeeper(), Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
 		},
 		Observer: rec, Log: e.Log,
 	}
--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -23,6 +23,7 @@
 	settings := e.current.Load()
 	d := newDrainDeadlines(time.Now(), loader.Duration(settings.DrainLimit), loader.Duration(settings.BalancerWait))
 	e.coordinator.StopAt(d.jobs)
+	defer time.AfterFunc(time.Until(d.jobs), e.endCalls).Stop()
 	ctx, cancel := context.WithDeadline(ctx, d.limit)
 	defer cancel()
 	work, cancelWork := context.WithDeadline(ctx, d.work)
