Read callers' connections so that the race detector sees the order

TestRequestThatWaitsForTheStoreIsAnsweredAtDrainLimit reported a data race between a test that sets a field before it sends a request and the handler that reads the field. Reads and writes of net order the two for the race detector through package syscall; the reads of drainer went through x/sys/unix, which keeps an order of its own. With syscall.Read the composer's tests pass three times with the detector.

--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -66,7 +66,7 @@
 	n, readErr := 0, error(nil)
 	take := func(fd uintptr) bool {
 		n, readErr = c.take(fd, b)
-		return readErr != unix.EAGAIN
+		return readErr != syscall.EAGAIN
 	}
 	err := c.raw.Read(take)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.currentState() == waiting {
@@ -98,12 +98,14 @@
 func (c *conn) take(fd uintptr, b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n, err := unix.Read(int(fd), b)
-	for err == unix.EINTR {
-		n, err = unix.Read(int(fd), b)
+	// Unlike unix.Read, syscall.Read orders the caller's and the server's steps for the race
+	// detector, as reads of net do.
+	n, err := syscall.Read(int(fd), b)
+	for err == syscall.EINTR {
+		n, err = syscall.Read(int(fd), b)
 	}
 	switch {
-	case err == unix.EAGAIN:
+	case err == syscall.EAGAIN:
 		return 0, err
 	case n > 0 && !c.lingerUntil.IsZero():
 		c.server.dropped(c, "crossed")
