Refuse requests that have not arrived whole when an entry is stopped

What callers saw: a request that another entry was still sending when its receiver was stopped ended as may_have_run, though nobody had begun to process it.

Cause: Server.Shutdown refused only streams that were accepted later. One whose request was being read was waited for like an active one, up to the limit, and then cut with its connection.

Evidence: TestShutdownDuringRequest failed before: "Application error 0x0 (remote): stopped" in place of a reset with codeNotProcessed. 5 runs of all shutdown tests pass now.

Why it works: the refusal ends reads in progress, and a request is handed to the handler only if it was read whole before the refusal began, so a reset stream was certainly not processed.

--- a/lib/entry/server.go
+++ b/lib/entry/server.go
@@ -74,10 +74,10 @@
 
 // Shutdown continues to answer until no request has been active for
 // drainQuietPeriod, then refuses further requests and asks the peers to close their
-// connections, which they do when they have read the replies. Refused
-// streams are reset with codeNotProcessed, so that the peer can retry elsewhere.
-// Connections that peers leave open are closed closeTimeout after the last active
-// request, or after the end of ctx.
+// connections, which they do when they have read the replies. A request that has not
+// arrived whole by then is refused too. Refused streams are reset with
+// codeNotProcessed, so that the peer can retry elsewhere. Connections that peers leave
+// open are closed closeTimeout after the last active request, or after the end of ctx.
 func (s *Server) Shutdown(ctx context.Context) {
 	idleSince := time.Now()
 	for ctx.Err() == nil && time.Since(idleSince) < drainQuietPeriod {
@@ -218,6 +218,10 @@
 	if s.closing.Err() != nil {
 		return codeNotProcessed, false
 	}
+	defer context.AfterFunc(s.closing, func() { _ = st.SetReadDeadline(time.Now()) })()
 	err := readMessage(st, q)
+	if s.closing.Err() != nil {
+		return codeNotProcessed, false
+	}
 	return codeFailed, err == nil
 }
--- a/lib/entry/shutdown_test.go
+++ b/lib/entry/shutdown_test.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
 	"radishweir.org/lib/classifier"
 	"radishweir.org/lib/wire"
 )
@@ -32,6 +36,35 @@
 	calls.Wait()
 }
 
+// TestShutdownDuringRequest guards against may_have_run for a request that has not arrived
+// whole when the server shuts down.
+func TestShutdownDuringRequest(t *testing.T) {
+	dir := issueTestKeys(t)
+	s, c, p, _ := startPair(t, &echoHandler{}, dir, dir)
+	conn, err := c.connect(t.Context(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.calls.Done()
+	st, err := conn.OpenStreamSync(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := st.Write([]byte{10}); err != nil {
+		t.Fatal(err)
+	}
+	for s.active.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*drainQuietPeriod)
+	defer cancel()
+	go s.Shutdown(ctx)
+	var se *quic.StreamError
+	if err := readMessage(st, &wire.Reply{}); !errors.As(err, &se) || se.ErrorCode != codeNotProcessed {
+		t.Error(err)
+	}
+}
+
 // TestShutdownAfterLostReply guards against replies that are lost because the connection
 // is closed before they have arrived.
 func TestShutdownAfterLostReply(t *testing.T) {
