Answer the requests for other entries' jobs at the limit of a drain

What callers saw: a drain that ends by its limit or by a second signal cuts requests without an answer. The caller of a job whose home is another entry gets EOF.

Cause: at its limit the drain canceled the jobs that run here, which settles them at once, and then waited 2 s for the callers' requests. A request that waits for another entry was not told, so it waited for longer and was cut with the process. The server for other entries was closed in the same moment as the limit passed, with no time for the last replies, and a job that was submitted after the one cancellation was never canceled.

Why it works: at the limit the contexts of the callers' requests end, so each is answered with what is known of its job, at worst may_have_run. Cancellation is repeated until all servers have stopped, and both servers get the 2 s for their last answers.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -93,6 +93,9 @@
 	tenants  directory
 	listener net.Listener
 	server   *http.Server
+	// requests ends when CancelRequests is called.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 }
 
 // Listen binds the address.
@@ -102,12 +105,14 @@
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
 	s.listener = l
+	s.requests, s.cancelRequests = context.WithCancel(context.Background())
 	s.server = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 	}
 	return nil
 }
@@ -123,6 +128,10 @@
 // Shutdown refuses new connections and waits for the open requests.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
+// CancelRequests answers the open requests, and those that follow, with what is known of
+// their jobs: the answer, the progress, or may_have_run if another entry runs the job.
+func (s *Server) CancelRequests() { s.cancelRequests() }
+
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/radishweir/internal/assembler/drain.go
+++ b/radishweir/internal/assembler/drain.go
@@ -17,8 +17,8 @@
 	// drainPollInterval is the time between two attempts to hand over the remaining
 	// shards, and between two checks for open jobs.
 	drainPollInterval = 50 * time.Millisecond
-	// finalAnswerTimeout limits the sending of the last answers to callers after
-	// the drain was cut short.
+	// finalAnswerTimeout limits the sending of the last answers after the drain was
+	// cut short.
 	finalAnswerTimeout = 2 * time.Second
 	// deregisterTimeout limits the removal of the registration.
 	deregisterTimeout = time.Second
@@ -45,8 +45,7 @@
 	e.heartbeater.Round(ctx, true)
 	pause(ctx, loader.Duration(e.BalancerWait))
 	e.handOverShards(ctx)
-	e.waitForOpenJobs(ctx)
-	e.entryServer.Shutdown(ctx)
+	e.endRequests(ctx)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelLeave()
 	if err := e.registrar.Leave(leaveCtx); err != nil {
@@ -82,27 +81,45 @@
 	return true
 }
 
-// waitForOpenJobs waits for the open jobs and the callers' requests to end. When
-// ctx ends, it cancels the jobs that are still open, so that each gets a verdict.
-func (e *Entry) waitForOpenJobs(ctx context.Context) {
-	closed := make(chan struct{})
-	go func() {
-		if e.callerServer.Shutdown(ctx) != nil {
-			e.tracker.CancelAll("the entry was stopped before the job ended")
-			finalCtx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
-			defer cancel()
-			_ = e.callerServer.Shutdown(finalCtx)
-		}
-		close(closed)
-	}()
-	for ctx.Err() == nil && e.tracker.OpenJobs() > 0 {
-		pause(ctx, drainPollInterval)
+// endRequests waits for the callers' requests, the open jobs and the requests of other
+// entries to end. When ctx ends, it cancels the jobs and answers the requests that are still
+// open, so that each gets a verdict within finalAnswerTimeout.
+func (e *Entry) endRequests(ctx context.Context) {
+	final, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		time.AfterFunc(finalAnswerTimeout, cancel)
+		e.cancelOpenJobs(final)
+	})()
+	if err := e.callerServer.Shutdown(final); err != nil {
+		e.Log.Error().Err(err).Msg("callers_not_answered")
 	}
-	<-closed
+	e.waitForOpenJobs(final)
+	e.entryServer.Shutdown(final)
+	e.waitForOpenJobs(final)
+	if n := e.tracker.OpenJobs(); n > 0 {
+		e.Log.Error().Int("jobs", n).Msg("open_jobs_without_verdict")
+	}
+}
+
+// cancelOpenJobs cancels the open jobs and the callers' requests until ctx ends. A request
+// that is being read may still submit a job.
+func (e *Entry) cancelOpenJobs(ctx context.Context) {
 	if n := e.tracker.OpenJobs(); n > 0 {
-		e.tracker.CancelAll("the entry was stopped before the job ended")
 		e.Log.Warn().Int("jobs", n).Msg("open_jobs_ended")
 	}
+	for ctx.Err() == nil {
+		e.tracker.CancelAll("the entry was stopped before the job ended")
+		e.callerServer.CancelRequests()
+		pause(ctx, drainPollInterval)
+	}
+}
+
+// waitForOpenJobs waits until no job is open or ctx ends.
+func (e *Entry) waitForOpenJobs(ctx context.Context) {
+	for ctx.Err() == nil && e.tracker.OpenJobs() > 0 {
+		pause(ctx, drainPollInterval)
+	}
 }
 
 // pause waits for d or the end of ctx.
