Deliver the answers of handed-over jobs before a drained entry ends

What callers saw: a job that ran while its entry was drained, and that ended well, is answered by its new home with may_have_run, "the entry that ran the job did not report its end", a second after its deadline.

The process ended as soon as no job was open, so an answer that its new home did not take at once, as when that one was paused, was lost.

Why it works: the drain counts answers that are being sent like open jobs, and waits for them up to its limit. Those that remain then are logged as answers_not_delivered.

--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"bytes"
 	"context"
 	"syscall"
 	"testing"
@@ -87,3 +88,31 @@
 	c.HTTP.CloseIdleConnections() // A pull on a used connection may be sent again.
 	return c.Pull(ctx, j.GetService(), j.GetJobId(), true)
 }
+
+// TestDrainDeliversAnswers guards against answers of jobs that were handed over while they
+// ran and are lost because the entry that ran them ends too early.
+func TestDrainDeliversAnswers(t *testing.T) {
+	f := newFleet(t, 2, "north")
+	const tasks = 4
+	j := newJob(f.issueID("entry-1", "claims"), "claims", tasks, 2*time.Second)
+	for _, task := range j.Tasks {
+		task.Input = append(task.Input, bytes.Repeat([]byte(" answer"), 9000)...)
+	}
+	if _, err := f.client("entry-1").Submit(t.Context(), j, false); err != nil {
+		t.Fatal(err)
+	}
+	f.await("the start", func() bool { return f.jobStarts(j.GetJobId(), tasks) == tasks })
+	f.signal("entry-1", syscall.SIGTERM)
+	f.await("the handover", func() bool {
+		st, ok := f.statuses()["entry-1"]
+		return ok && st.Draining && !hasShards(st)
+	})
+	f.signal("entry-2", syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	f.signal("entry-2", syscall.SIGCONT)
+	a, err := f.client("entry-2").Pull(t.Context(), "claims", j.GetJobId(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	requireCompleteAnswer(t, j, a)
+}
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -72,6 +72,8 @@
 
 	draining atomic.Bool
 	started  time.Time
+	// unsentAnswers counts the answers that sendAnswer has not delivered yet.
+	unsentAnswers atomic.Int64
 }
 
 // New builds an entry and binds its sockets. It fails while an earlier process on
@@ -248,7 +250,9 @@
 // sendAnswer sends the answer of a job to the current home of its shard. It
 // returns at once and retries in the background.
 func (e *Entry) sendAnswer(s placer.Shard, r *wire.JobRecord) {
+	e.unsentAnswers.Add(1)
 	go func() {
+		defer e.unsentAnswers.Add(-1)
 		message := &wire.Envelope{Body: &wire.Envelope_Settle{Settle: &wire.Settle{Record: r}}}
 		for range answerAttempts {
 			if e.trySendAnswer(s, message) {
--- a/radishweir/internal/assembler/drain.go
+++ b/radishweir/internal/assembler/drain.go
@@ -100,6 +100,9 @@
 	if n := e.tracker.OpenJobs(); n > 0 {
 		e.Log.Error().Int("jobs", n).Msg("open_jobs_without_verdict")
 	}
+	if n := e.unsentAnswers.Load(); n > 0 {
+		e.Log.Error().Int64("answers", n).Msg("answers_not_delivered")
+	}
 }
 
 // cancelOpenJobs cancels the open jobs and the callers' requests until ctx ends. A request
@@ -115,9 +118,10 @@
 	}
 }
 
-// waitForOpenJobs waits until no job is open or ctx ends.
+// waitForOpenJobs waits until no job is open and the answers of those that were handed over
+// have reached their homes, or ctx ends.
 func (e *Entry) waitForOpenJobs(ctx context.Context) {
-	for ctx.Err() == nil && e.tracker.OpenJobs() > 0 {
+	for ctx.Err() == nil && (e.tracker.OpenJobs() > 0 || e.unsentAnswers.Load() > 0) {
 		pause(ctx, drainPollInterval)
 	}
 }
