--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -95,6 +95,9 @@
 	tenants  directory
 	listener net.Listener
 	server   *drainer.Server
+	// requests ends when CancelRequests is called.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 }
 
 // Listen binds the address.
@@ -104,6 +107,7 @@
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
 	s.listener = l
+	s.requests, s.cancelRequests = context.WithCancel(context.Background())
 	s.server = &drainer.Server{
 		Server: http.Server{
 			Handler:           s.Handler(),
@@ -111,6 +115,7 @@
 			ReadTimeout:       bodyTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			BaseContext:       func(net.Listener) context.Context { return s.requests },
 		},
 		Observer: s.Recorder, Log: s.Log,
 	}
@@ -131,6 +136,10 @@
 // Drain refuses new connections and waits until what has arrived is answered.
 func (s *Server) Drain(ctx context.Context) error { return s.server.Drain(ctx) }
 
+// CancelRequests answers the open requests, and those that follow, with what is known of
+// their jobs: the answer, the progress, or may_have_run if another entry runs the job.
+func (s *Server) CancelRequests() { s.cancelRequests() }
+
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
