--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -138,9 +138,9 @@
 	return c.since
 }
 
-// closeIdle closes the connection if it is idle and nothing has arrived. The first call only tells the
-// caller that no answer comes any more, so that what was sent by then is noticed; one after
-// lingerTime closes the connection.
+// closeIdle closes the connection if it is idle and nothing has arrived. The first call only
+// tells the caller that no answer comes any more, so that what was sent by then is noticed; one
+// after lingerTime closes the connection.
 func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,6 +149,7 @@
 	}
 	if c.lingerUntil.IsZero() {
 		c.lingerUntil = now.Add(lingerTime)
+		c.server.endedIdle.Add(1)
 		// It fails only if the connection has ended, which Read reports.
 		_ = c.CloseWrite()
 		return
--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -63,6 +63,8 @@
 	retired atomic.Bool
 	// acceptedLate counts the connections that the listener's queue held when it stopped.
 	acceptedLate atomic.Int64
+	// endedIdle counts the idle connections that this side ended.
+	endedIdle atomic.Int64
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -164,11 +166,11 @@
 	return open, listening
 }
 
-// logEnd writes an event with what the connections carry at the end of a drain and how many
-// were accepted after the listener stopped.
+// logEnd writes an event with what the connections carry at the end of a drain, how many
+// idle ones were ended, and how many were accepted after the listener stopped.
 func (s *Server) logEnd(event string) {
 	idle, read, served := s.Counts()
-	s.Log.Info().Int("idle", idle).Int("read", read).Int("served", served).Int64("accepted_late", s.acceptedLate.Load()).Msg(event)
+	s.Log.Info().Int("idle", idle).Int("read", read).Int("served", served).Int64("ended_idle", s.endedIdle.Load()).Int64("accepted_late", s.acceptedLate.Load()).Msg(event)
 }
 
 // follow is the http.Server.ConnState of this server.
