--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -159,6 +159,22 @@
 	_ = c.TCPConn.Close()
 }
 
+// Write implements net.Conn. A request that net/http answers without the handler is served
+// from its answer on.
+func (c *conn) Write(b []byte) (int, error) {
+	c.noteAnswer()
+	return c.TCPConn.Write(b)
+}
+
+// noteAnswer notes that an answer to the current request is written.
+func (c *conn) noteAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == reading {
+		c.state = serving
+	}
+}
+
 // Close implements net.Conn. It reports a request that gets no answer.
 func (c *conn) Close() error {
 	c.mu.Lock()
