--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -116,12 +116,15 @@
 // are still accepted.
 func (s *Server) Retire() { s.retired.Store(true) }
 
-// Drain closes the idle connections over closeTime, then accepts those that are established
+// Drain closes the idle connections over closeTime, or less if ctx ends before, then accepts those that are established
 // already and no further ones, answers what arrives on the open ones, and returns when none is
 // left. If ctx ends before, it returns the error of ctx and leaves the open ones as they are.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Retire()
 	closeBy := time.Now().Add(closeTime)
+	if limit, ok := ctx.Deadline(); ok {
+		closeBy = earlier(closeBy, limit.Add(-2*lingerTime))
+	}
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
 	for {
@@ -143,6 +146,14 @@
 	}
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // closeIdle closes some of the idle connections, those that were used least recently first
 // and all of them by closeBy. It returns the number of open connections and whether further
 // ones are accepted.
