Close connections without the lock that their readers need

Closing a net.TCPConn waits for the read in progress, which may be about to take the lock. The decision is still made under the lock; bytes that are read after it are reported as crossed.

--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -142,21 +142,29 @@
 // tells the caller that no answer comes any more, so that what was sent by then is noticed; one
 // after lingerTime closes the connection.
 func (c *conn) closeIdle(now time.Time) {
+	if c.endIdle(now) {
+		// The read that this interrupts ends the connection for the server. The lock is not
+		// held, as the close waits for a read in progress, which may wait for the lock.
+		_ = c.TCPConn.Close()
+	}
+}
+
+// endIdle does the first step of closeIdle, or returns true if the connection is to be closed.
+func (c *conn) endIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idle(now) || c.hasUnread() {
-		return
+		return false
 	}
 	if c.lingerUntil.IsZero() {
 		c.lingerUntil = now.Add(lingerTime)
 		c.server.endedIdle.Add(1)
 		// It fails only if the connection has ended, which Read reports.
 		_ = c.CloseWrite()
-		return
+		return false
 	}
 	c.closed = true
-	// The read that this interrupts ends the connection for the server.
-	_ = c.TCPConn.Close()
+	return true
 }
 
 // Write implements net.Conn. A request that net/http answers without the handler is served
@@ -177,6 +185,12 @@
 
 // Close implements net.Conn. It reports a request that gets no answer.
 func (c *conn) Close() error {
+	c.noteClose()
+	return c.TCPConn.Close()
+}
+
+// noteClose reports a request that gets no answer as this side closes the connection.
+func (c *conn) noteClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed && !c.ended {
@@ -188,7 +202,6 @@
 		}
 	}
 	c.closed = true
-	return c.TCPConn.Close()
 }
 
 // hasUnread reports whether bytes have arrived that were not read yet.
