Close the connections of requests that were open when an entry began to stop

Found in review: whether an answer closes its connection was decided before the job ran, so the callers of all jobs that were open at SIGTERM kept connections that the entry ended seconds later, when the next request could cross the end.

The decision now falls when the header of the answer is written, in package drainer, so it holds for both programs and all handlers; JobHandler.Closing is gone. A test of hijacked connections uses http.ResponseController, as the writer of an answer is wrapped.

Also: the leased entry's two HTTP servers are listed, not mapped by address, as a map would drop one of two servers with the same address.

--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -88,9 +88,7 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.setState(serving)
 		}
-		if s.retired.Load() {
-			w.Header().Set("Connection", "close")
-		}
+		w = &responseWriter{ResponseWriter: w, server: s}
 		handler.ServeHTTP(w, r)
 	})
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -116,9 +114,10 @@
 // are still accepted.
 func (s *Server) Retire() { s.retired.Store(true) }
 
-// Drain closes the idle connections over closeTime, or less if ctx ends before, then accepts those that are established
-// already and no further ones, answers what arrives on the open ones, and returns when none is
-// left. If ctx ends before, it returns the error of ctx and leaves the open ones as they are.
+// Drain closes the idle connections over closeTime, or less if ctx ends before, then accepts
+// those that are established already and no further ones, answers what arrives on the open ones,
+// and returns when none is left. If ctx ends before, it returns the error of ctx and leaves the
+// open ones as they are.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Retire()
 	closeBy := time.Now().Add(closeTime)
--- a/lib/drainer/forms_test.go
+++ b/lib/drainer/forms_test.go
@@ -120,7 +120,7 @@
 	s := &drainer.Server{Observer: &drops{}, Log: zerolog.Nop()}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/hijack" {
-			nc, rw, err := w.(http.Hijacker).Hijack()
+			nc, rw, err := http.NewResponseController(w).Hijack()
 			if err != nil {
 				t.Error(err)
 				return
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -214,7 +214,7 @@
 	e.callerServer = &drainer.Server{
 		Server: http.Server{
 			Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
-			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.newCallerKeeper(), Pending: e.Pending, Closing: e.draining.Load, Log: e.Log},
+			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.newCallerKeeper(), Pending: e.Pending, Log: e.Log},
 		},
 		Observer: rec, Log: e.Log,
 	}
@@ -272,14 +272,15 @@
 	work.Go(func() { e.followSettings(ctx) })
 	work.Go(func() { e.exchangeInterference(ctx) })
 	work.Go(func() { e.monitorLag(ctx) })
-	for addr, serve := range map[string]func(net.Listener) error{
-		e.CallerAddress: e.callerServer.Serve, e.ReadinessAddress: e.readinessServer.Serve,
-	} {
-		l, err := net.Listen("tcp", addr)
+	for _, s := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{{e.CallerAddress, e.callerServer.Serve}, {e.ReadinessAddress, e.readinessServer.Serve}} {
+		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		go func() { failed <- serve(l) }()
+		go func() { failed <- s.serve(l) }()
 	}
 	if err := e.operatorServer.Listen(); err != nil {
 		return err
