Explain jobs that ended because their entry stopped

What operators saw: for a job that was open at the drain limit, "its caller's deadline passed while it ran"; for one that was refused then, no cause at all.

Cause: the reason "the entry is stopping" is new in the line job_ended, and radishweirctl explain and docs/OPERATIONS.md did not know it.

Evidence: TestExplainJobOfStoppedEntry fails with these two texts before.

Why it works: both outcomes have a row of their own, ahead of the one for any expired job.

--- a/radishweirctl/internal/explainer/causes.go
+++ b/radishweirctl/internal/explainer/causes.go
@@ -20,6 +20,8 @@
 		"refused", "no upstream is large enough", "it fits no listed upstream, or none is listed",
 		"radishweir_upstream_list_age_seconds and the job's declared needs",
 	},
+	{"refused", "the entry is stopping", "its entry drained, and it could not end before the drain limit", stopNext},
+	{"expired", "the entry is stopping", "its entry drained, and it was open at the drain limit", stopNext},
 	{
 		"failed", "upstreams crash under a task", "upstreams crashed under one of its tasks, one of them with nothing else on it",
 		"upstream_lost_under_task and upstream_crashed_under_task of the job",
@@ -42,6 +44,8 @@
 const overloadNext = "upstreams_usable and peers_up in the line against those of calm times, then upstream_ejected and peer_down; " +
 	"with none of them, more load than room"
 
+const stopNext = "drain_limit against the time that jobs take, and registration_not_removed"
+
 // explainEnd returns the cause and the next place to look for the last line about
 // a job.
 func explainEnd(l Line) (text, next string) {
--- a/radishweirctl/internal/explainer/explainer_test.go
+++ b/radishweirctl/internal/explainer/explainer_test.go
@@ -43,3 +43,13 @@
 		t.Errorf("by time and entry: %+v", e)
 	}
 }
+
+// Guards against jobs of an entry that was stopped being explained as slow or unknown.
+func TestExplainJobOfStoppedEntry(t *testing.T) {
+	for state, want := range map[string]string{"refused": "could not end", "expired": "open at the drain limit"} {
+		l := explainer.Line{Event: "job_ended", Fields: map[string]string{"job": "aa", "state": state, "reason": "the entry is stopping"}}
+		if e := explainer.Explain([]explainer.Line{l}, "aa", time.Time{}, ""); !strings.Contains(e.Cause, want) || !strings.Contains(e.Next, "drain_limit") {
+			t.Errorf("%s: %+v", state, e)
+		}
+	}
+}
