--- a/radishweir/internal/composer/drain.go
+++ b/radishweir/internal/composer/drain.go
@@ -38,12 +38,17 @@
 	case <-work.Done():
 	case <-time.After(time.Until(d.balancer)):
 	}
-	if err := e.callerServer.Drain(work); err != nil {
+	answered := e.callerServer.Drain(work)
+	if answered != nil {
 		open, _ := e.coordinator.Counts()
-		e.Log.Warn().Int("jobs", open).Err(err).Msg("open_jobs_ended")
+		e.Log.Warn().Int("jobs", open).Err(answered).Msg("open_jobs_ended")
 	}
 	e.drainKeptJobs(ctx, d.work)
 	e.drainRuns(work)
+	if answered != nil {
+		// The last answers have the rest of the time; connections_left tells whether it was enough.
+		_ = e.callerServer.Drain(ctx)
+	}
 }
 
 // drainRuns waits for the runs of other entries and the jobs that they delegated.
