--- a/lib/drainer/response_writer.go
+++ b/lib/drainer/response_writer.go
@@ -15,7 +15,10 @@
 func (w *responseWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.headerWritten {
 		w.headerWritten = true
-		if w.server.retired.Load() {
+		// http.MaxBytesReader, which closes the connection below a body that is too large,
+		// does not see through the wrapper. Without it net/http reads the rest of the body
+		// before it answers.
+		if w.server.retired.Load() || status == http.StatusRequestEntityTooLarge {
 			w.Header().Set("Connection", "close")
 		}
 	}
