--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -88,8 +88,12 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.setState(serving)
 		}
-		w = &responseWriter{ResponseWriter: w, server: s}
-		handler.ServeHTTP(w, r)
+		rw := &responseWriter{ResponseWriter: w, server: s}
+		handler.ServeHTTP(rw, r)
+		if !rw.headerWritten && s.retired.Load() {
+			// net/http writes the header of an empty answer.
+			w.Header().Set("Connection", "close")
+		}
 	})
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
