--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -46,8 +46,9 @@
 
 // Observer counts requests without an answer.
 type Observer interface {
-	// RequestDropped counts a request that arrived on a connection which this server
-	// then closed without an answer, by the state of the connection.
+	// RequestDropped counts a request without an answer on a connection that this server
+	// closed. Its state is unread if nothing of it was read, read if it had not arrived
+	// whole, and crossed if it came after the end of the idle connection.
 	RequestDropped(state string)
 }
 
