--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,48 @@
+// Command standin-2 plays the cases of the second review: it is the platform's store, the
+// workers, the clients and the network paths of a small deployment, and starts the entries
+// as processes of their own. It checks the rules on what clients and workers see.
+//
+//	standin-2 SCENE FOLDER
+//
+// It writes record.txt into the folder, and ends with 1 if the scene's rule was broken, 0 if it
+// held and 2 if the scene could not run. With TROUBLE=0 in its environment the disruption is left
+// out.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// longest is the longest time that a scene may take.
+const longest = 110 * time.Second
+
+// scenes holds the scenes by name. Each returns the rule that it is about.
+var scenes = map[string]func(b *bench, trouble bool) string{
+	"held": sceneHeld, "replaced": sceneReplaced, "again": sceneAgain, "turned": sceneTurned, "cutoff": sceneCutOff, "kind": sceneKind,
+}
+
+func main() {
+	if len(os.Args) != 3 || scenes[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 SCENE FOLDER")
+		os.Exit(2)
+	}
+	time.AfterFunc(longest, func() { fatal("scene", errors.New("it takes too long")) })
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() { fatal("scene", fmt.Errorf("ended by signal %v", <-stopped)) }()
+	b := newBench(os.Args[2])
+	rule := scenes[os.Args[1]](b, os.Getenv("TROUBLE") != "0")
+	b.close()
+	b.rules.review()
+	one, all := b.rules.count(rule)
+	b.log.add("result", "rule", rule, "broken", one, "all_rules", all, "lines_left_out", b.log.hidden)
+	fmt.Printf("%s was broken %d times, all rules %d times\n", rule, one, all)
+	if one > 0 {
+		os.Exit(1)
+	}
+}
