--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Plays the scene "again" of review/standin-2: see claim.txt. TROUBLE=0 leaves the disruption out.
+# Plays the scene "again" of review/second/standin: see claim.txt. TROUBLE=0 leaves the disruption out.
 # It needs the builds of deploy/system.toml and review/build-2.sh.
 folder=$(cd "$(dirname "$0")" && pwd) && cd "$folder/../.." || exit 2
 if ! [ -x target/radishweir ] || ! [ -x target/standin-2 ]; then
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
 # Builds the stand-in of the second review's cases. It needs the standard library only.
 set -eu
-cd "$(dirname "$0")/standin-2"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/standin-2 .
+cd "$(dirname "$0")/second/standin"
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../../target/standin-2 .
