--- a/review/second/standin/store.go
+++ b/review/second/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"io"
@@ -49,7 +50,7 @@
 	history  []event
 	changed  chan struct{}
 	// modes tells how calls of an entry are treated: "" (they are served), "slow" (they take 60
-	// times as long), "busy" or "silent".
+	// times as long), "cut" (they are held back) or "silent" (they get no answer).
 	modes map[string]string
 	// paused is true while leases do not run out, as the store is down.
 	paused bool
@@ -172,10 +173,8 @@
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		m := s.modes[entry]
-		s.mu.Unlock()
-		if turnAway(w, r, m) {
+		m := s.passCut(r, entry)
+		if turnAway(r, m) {
 			return
 		}
 		d := answerTime
@@ -187,23 +186,40 @@
 	})
 }
 
+// passCut holds a call back while its entry is cut off from the store. It arrives as the cut heals,
+// unless its connection was closed. It returns how the store treats the call.
+func (s *store) passCut(r *http.Request, entry string) string {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	for {
+		s.mu.Lock()
+		m := s.modes[entry]
+		s.mu.Unlock()
+		if m != "cut" {
+			return m
+		}
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // turnAway treats a call as a peer does that is down in the given way, and reports
 // whether it did.
-func turnAway(w http.ResponseWriter, r *http.Request, how string) bool {
+func turnAway(r *http.Request, how string) bool {
 	switch how {
 	case "", "slow":
 		return false
-	case "busy":
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case "reset":
-		panic(http.ErrAbortHandler)
-	default:
-		// The body is read so that the end of the connection is noticed.
-		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
 	}
-	return true
+	// The body is read so that the end of the connection is noticed.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
 }
 
 // reply writes a JSON body.
