--- a/review/second/standin/main.go
+++ b/review/second/standin/main.go
@@ -1,5 +1,6 @@
 // Command standin-2 plays the cases of the second review: it is the platform's store, the
-// workers and the clients of a small deployment, and starts the entries as processes of their own. It checks the rules on what clients and workers see.
+// workers and the clients of a small deployment, and starts the entries as processes of their
+// own. It checks the rules on what clients and workers see.
 //
 //	standin-2 SCENE FOLDER
 //
--- a/review/second/standin/worker.go
+++ b/review/second/standin/worker.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -418,17 +417,6 @@
 	})
 }
 
-// parseTask splits a task's name.
-func parseTask(name string) (job string, step, index int) {
-	p := strings.Split(name, ".")
-	if len(p) != 4 {
-		return name, -1, -1
-	}
-	step, _ = strconv.Atoi(p[2])
-	index, _ = strconv.Atoi(p[3])
-	return p[0], step, index
-}
-
 // taskName returns a task's name.
 func taskName(job string, step, index int) string {
 	return fmt.Sprintf("%s.0.%d.%d", job, step, index)
