Coordinator: determine anew in each pass whether lost upstreams forbid a start

Cause: a task whose upstream was lost may not start before the loss is in the job's record. That hold was computed for tasks with lost upstreams only, and the answer to the write cleared one of its inputs. If the upstream was found alive before the answer came, no pass looked at the task again.

Change: each pass determines the hold of every task that is on hold, and asks the keeper whether the record has the loss (LossStored, in place of the callback LossesStored). No order of events is relied on.

--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -191,7 +191,7 @@
 	// alive since. storingLoss is true while the last of them is not stored.
 	lost        []LostUpstream
 	storingLoss bool
-	// onHold is true while the lost upstreams forbid a start.
+	// onHold is true while the lost upstreams forbid a start. Each pass determines it anew.
 	onHold bool
 	// isolateUntil is the time until which a suspect waits for an idle upstream;
 	// zero if it does not wait.
--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -42,8 +42,11 @@
 	// tasks over all steps. The keeper calls ReleaseEnds once that is stored.
 	TaskEnded(job string, index uint32, done bool, e End)
 	// UpstreamLost reports all upstreams lost under a task, numbered over all steps,
-	// after one more was lost. The keeper calls LossesStored once that is stored.
+	// after one more was lost.
 	UpstreamLost(job string, index uint32, lost []LostUpstream)
+	// LossStored reports whether the job's record holds what UpstreamLost last reported of
+	// a task. The keeper calls Wake when that changes.
+	LossStored(job string, index uint32) bool
 	// JobEnded reports that a job is Complete or Failed.
 	JobEnded(job string, s State)
 	// OrphanedEnd reports the end of a run that no placed task of this entry
--- a/lib/coordinator/kept_test.go
+++ b/lib/coordinator/kept_test.go
@@ -24,6 +24,8 @@
 
 func (k *memoryKeeper) UpstreamLost(string, uint32, []coordinator.LostUpstream) {}
 
+func (k *memoryKeeper) LossStored(string, uint32) bool { return true }
+
 func (k *memoryKeeper) JobEnded(job string, _ coordinator.State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/lib/coordinator/suspects.go
+++ b/lib/coordinator/suspects.go
@@ -105,21 +105,6 @@
 	}
 }
 
-// LossesStored reports that the upstreams lost under tasks of a kept job are in the
-// job's record, so that the tasks may be started again.
-func (c *Coordinator) LossesStored(id string, tasks []uint32) {
-	c.mu.Lock()
-	if j := c.jobs[id]; j != nil {
-		for _, n := range tasks {
-			if int(n) < len(j.tasks) {
-				j.tasks[n].storingLoss = false
-			}
-		}
-	}
-	c.mu.Unlock()
-	c.Wake()
-}
-
 // reviewSuspects finds out which of the lost upstreams have crashed and which are
 // alive, and fails the jobs whose tasks crash their upstreams; the caller holds the
 // lock.
@@ -130,7 +115,7 @@
 			continue
 		}
 		for _, t := range j.tasks {
-			if !t.isSuspect() || t.done {
+			if t.done || !(t.isSuspect() || t.onHold) {
 				continue
 			}
 			c.reviewLosses(t, now)
@@ -143,8 +128,8 @@
 	return out
 }
 
-// reviewLosses forgets the lost upstreams of a task that are alive, and marks those
-// that have crashed; the caller holds the lock.
+// reviewLosses forgets the lost upstreams of a task that are alive, marks those that have
+// crashed, and finds out whether the task may be started; the caller holds the lock.
 func (c *Coordinator) reviewLosses(t *task, now time.Time) {
 	t.lost = slices.DeleteFunc(t.lost, func(l LostUpstream) bool {
 		alive := c.isAlive(l, now)
@@ -153,6 +138,10 @@
 		}
 		return alive
 	})
+	if t.storingLoss && c.Keeper.LossStored(t.job.ID, uint32(t.number)) {
+		t.storingLoss = false
+		c.Log.Info().Str("task", t.name()).Bool("suspect", t.isSuspect()).Msg("upstream_loss_stored")
+	}
 	for i := range t.lost {
 		if l := &t.lost[i]; !l.Crashed && c.hasCrashed(*l) {
 			l.Crashed = true
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -73,7 +73,7 @@
 	SubmitKept(j coordinator.Job)
 	Release(id string)
 	ReleaseEnds(list []coordinator.End)
-	LossesStored(id string, tasks []uint32)
+	Wake()
 	MarkDone(id string, number int)
 	MarkFailed(id string, number int)
 	MayHaveStarted(id string) bool
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -76,6 +76,14 @@
 	k.flush(j)
 }
 
+// LossStored implements coordinator.Keeper.
+func (k *Keeper) LossStored(id string, index uint32) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.jobs[id]
+	return j != nil && !slices.Contains(j.unwrittenLosses, index) && !slices.Contains(j.pendingLosses, index)
+}
+
 // JobEnded implements coordinator.Keeper.
 func (k *Keeper) JobEnded(id string, s coordinator.State) {
 	k.mu.Lock()
@@ -126,7 +134,7 @@
 		k.mu.Unlock()
 		k.Jobs.ReleaseEnds(written)
 		if len(losses) > 0 {
-			k.Jobs.LossesStored(j.id, losses)
+			k.Jobs.Wake()
 		}
 	case isConflict(err):
 		// The unwritten changes stay queued. reloadRecord either writes them at the
