Keeper: an end is released only if the record of its job does not need it

Cause: the new owner of an upstream does not know whose the listed ends are. It dropped them after 12 s, expecting the takeover to come sooner. The lease of the holder, an outage and the first read of the records add up to more.

Evidence, on the code as it was with a line where such an end is dropped: holder_gone at 57.328, 32 ends of the four jobs dropped from 57.939 on, takeover_begun at 58.941 at another entry, takeover_ended jobs=4 at 60.456; the tasks of these ends started again. Ruled out: that the takeover was told of the ends and lost them, and that the leases had lapsed.

Change: time no longer decides. An owner compares the ends that it has listed for 4 s with the records, every 2 s. One that its record does not need is released, also those of jobs without a record; one that it lacks is sent to the job's holder, or stays listed for the takeover, or a second one, if the holder is gone. Up to 8 records are read alone, more in one list.

--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -260,7 +260,7 @@
 // reportOrphanedEnd reports to the Keeper an end that no placed task waits for,
 // unless the job is an open one that is not kept; the caller holds the lock.
 func (c *Coordinator) reportOrphanedEnd(e *wire.RunEnd) {
-	if id, step, i, ok := parseTask(e.GetTask()); ok && (c.jobs[id] == nil || c.jobs[id].kept()) {
+	if id, step, i, ok := ParseTask(e.GetTask()); ok && (c.jobs[id] == nil || c.jobs[id].kept()) {
 		c.Keeper.OrphanedEnd(id, step, i, e.GetCause() == wire.RunEnd_done, e.GetHolder(), endOf(e))
 	}
 }
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -562,8 +562,8 @@
 	t.avoid[upstream] = true
 }
 
-// parseTask splits a task's name at upstreams into its job, step and index.
-func parseTask(name string) (job string, step, index int, ok bool) {
+// ParseTask splits a task's name at upstreams into its job, step and index.
+func ParseTask(name string) (job string, step, index int, ok bool) {
 	parts := strings.Split(name, ".")
 	if len(parts) != 4 {
 		return parts[0], 0, 0, false
@@ -575,7 +575,7 @@
 
 // placedTask returns the placed task whose run ended, or nil if there is none.
 func (c *Coordinator) placedTask(e *wire.RunEnd) *task {
-	id, step, i, ok := parseTask(e.GetTask())
+	id, step, i, ok := ParseTask(e.GetTask())
 	j := c.jobs[id]
 	if !ok || j == nil || step >= len(j.Steps) || i >= j.Steps[step].Tasks {
 		return nil
--- a/lib/keeper/orphans.go
+++ b/lib/keeper/orphans.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -10,15 +9,6 @@
 	"radishweir.org/lib/wire"
 )
 
-const (
-	// settleAfter is the age from which on the record of a job with orphaned ends is
-	// read, to find out whether it needs them, settleInterval the time between two
-	// such checks, and maxSettled the maximum number of records read in one.
-	settleAfter    = 4 * time.Second
-	settleInterval = 2 * time.Second
-	maxSettled     = 8
-)
-
 // orphanedEnd is the end of a run whose job this entry does not hold.
 type orphanedEnd struct {
 	step     int
@@ -64,7 +54,7 @@
 // counts the failed run. The caller holds the lock.
 func (k *Keeper) recordLateEnd(j *keptJob, step, index int, done bool, e coordinator.End) bool {
 	n, ok := taskNumber(j.record, step, index)
-	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) || (!done && j.countsFailure(n, e.Run)) {
+	if !ok || j.record.GetState() != wire.KeptJob_open || slices.Contains(j.record.GetDone(), n) || (!done && countsFailure(j.record, n, e.Run)) {
 		return false
 	}
 	k.recordTaskEnd(j, n, done, e)
@@ -91,7 +81,7 @@
 		j.pendingEnds = append(j.pendingEnds, s.end)
 		n, ok := taskNumber(j.record, s.step, s.index)
 		switch {
-		case !ok || (!s.done && j.countsFailure(n, s.end.Run)):
+		case !ok || (!s.done && countsFailure(j.record, n, s.end.Run)):
 		case !s.done && unnamed[n] > 0:
 			unnamed[n]--
 		default:
@@ -134,36 +124,3 @@
 	}
 	k.orphans[id] = ends
 }
-
-// settleOrphans releases the old ends that no record needs any more: their jobs have
-// ended, or their records include them. Until then their upstreams list them.
-func (k *Keeper) settleOrphans(ctx context.Context) {
-	k.mu.Lock()
-	var ids []string
-	for id, ends := range k.orphans {
-		if time.Since(ends[0].received) > settleAfter && len(ids) < maxSettled {
-			ids = append(ids, id)
-		}
-	}
-	k.mu.Unlock()
-	for _, id := range ids {
-		record, revision, err := k.read(ctx, id)
-		if err != nil {
-			k.Log.Debug().Str("job", id).Err(err).Msg("orphaned_ends_unsettled")
-			return
-		}
-		ended := revision == 0 || record.GetState() != wire.KeptJob_open
-		k.mu.Lock()
-		var settled []coordinator.End
-		k.setOrphans(id, slices.DeleteFunc(k.orphans[id], func(s orphanedEnd) bool {
-			n, ok := taskNumber(record, s.step, s.index)
-			if !ended && ok && !(s.done && slices.Contains(record.GetDone(), n)) {
-				return false
-			}
-			settled = append(settled, s.end)
-			return true
-		}))
-		k.mu.Unlock()
-		k.Jobs.ReleaseEnds(settled)
-	}
-}
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -112,7 +112,7 @@
 // notifyHolder tells the entry that holds a job that its record was changed. If the notice
 // is lost, the holder notices the change as it verifies the record.
 func (k *Keeper) notifyHolder(id, holder string) {
-	name, _, _ := strings.Cut(holder, "@")
+	name := entryOf(holder)
 	if name == k.Self {
 		k.Reload(id)
 		return
@@ -120,6 +120,12 @@
 	k.Peers.Notify(name, id)
 }
 
+// entryOf returns the name of the entry that has or had a holder.
+func entryOf(holder string) string {
+	name, _, _ := strings.Cut(holder, "@")
+	return name
+}
+
 // Reload reads the record of a job again in the background, after another entry
 // cancelled it or found that its holder is gone.
 func (k *Keeper) Reload(id string) {
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -46,22 +46,18 @@
 	time.AfterFunc(lateWriteDelay, k.TriggerReview)
 }
 
-// Run takes over the jobs of lost holders, and compares the jobs of this entry with their
-// records, until ctx ends.
+// Run takes over the jobs of lost holders, and compares the jobs of this entry and the ends
+// that it knows with the records, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	var verification sync.WaitGroup
-	verification.Go(func() { k.verify(ctx) })
-	defer verification.Wait()
+	var comparisons sync.WaitGroup
+	comparisons.Go(func() { k.verify(ctx) })
+	comparisons.Go(func() { k.settle(ctx) })
+	defer comparisons.Wait()
 	reviewed := false
-	settle := time.NewTicker(settleInterval)
-	defer settle.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
-		case <-settle.C:
-			k.settleOrphans(ctx)
-			continue
 		case <-k.review:
 		}
 		// Until kept jobs are known to exist, the read at the start is enough.
--- a/lib/keeper/verifier.go
+++ b/lib/keeper/verifier.go
@@ -27,6 +27,12 @@
 	UnattendedJobs() []string
 	// StopJob stops all runs of a job and returns their number.
 	StopJob(ctx context.Context, job string) int
+	// UnsettledEnds returns the ends that upstreams have listed for a while.
+	UnsettledEnds() []*wire.RunEnd
+	// AssignEnd sends an end to the entry that holds the run's job, until Safe is called.
+	AssignEnd(e *wire.RunEnd, requester, holder string)
+	// Safe lets an upstream drop the end of a run.
+	Safe(s *wire.RunSafe)
 }
 
 // verify compares the jobs that this entry runs, and the runs that it supervises for
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -54,9 +54,9 @@
 	j.record.FailedRuns = append(j.record.FailedRuns, &wire.FailedRun{Task: index, Run: run})
 }
 
-// countsFailure reports whether the record counts a failed run of a task.
-func (j *keptJob) countsFailure(index uint32, run uint64) bool {
-	return slices.ContainsFunc(j.record.GetFailedRuns(), func(f *wire.FailedRun) bool { return f.GetTask() == index && f.GetRun() == run })
+// countsFailure reports whether a record counts a failed run of a task.
+func countsFailure(r *wire.KeptJob, index uint32, run uint64) bool {
+	return slices.ContainsFunc(r.GetFailedRuns(), func(f *wire.FailedRun) bool { return f.GetTask() == index && f.GetRun() == run })
 }
 
 // UpstreamLost implements coordinator.Keeper.
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -199,7 +199,7 @@
 	for _, e := range rep.Ended {
 		h.applyEnd(e, now)
 	}
-	h.expireRetainedEnds(now)
+	h.reviewRetainedEnds(now)
 	h.unacknowledged = false
 	for _, e := range rep.Ended {
 		h.unacknowledged = h.unacknowledged || e.Number <= h.acknowledged()
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -13,9 +13,9 @@
 	// retentionPollInterval is the pause between polls of an upstream with retained
 	// ends; the effects of these are stored within several intervals.
 	retentionPollInterval = 20 * time.Millisecond
-	// orphanedEndRetention is how long orphaned ends, those without a known
-	// requester, are retained; the jobs of a dead entry are taken over sooner.
-	orphanedEndRetention = 12 * time.Second
+	// settleAfter is the age from which on a retained end counts as unsettled. By then its
+	// requester has usually stored its effect.
+	settleAfter = 4 * time.Second
 	// maxUnacknowledgedEnds is the number of ends that an upstream may list, those of
 	// its current runs included, while it gets new runs. It leaves a margin to
 	// MaxListedEnds.
@@ -43,8 +43,8 @@
 	requester string
 	// holder is empty while it is unknown whether the run's job is kept.
 	holder string
-	// expires is when the end is dropped if the holder is still unknown.
-	expires time.Time
+	// settleAt is when the end counts as unsettled.
+	settleAt time.Time
 	// resendAt is when the end is sent to its requester again.
 	resendAt time.Time
 }
@@ -91,7 +91,7 @@
 	if e.Cause != wire.RunEnd_done && e.Cause != wire.RunEnd_failed {
 		return
 	}
-	out := retainedEnd{key: k, cause: e.Cause, expires: now.Add(orphanedEndRetention), resendAt: now.Add(resendInterval)}
+	out := retainedEnd{key: k, cause: e.Cause, settleAt: now.Add(settleAfter), resendAt: now.Add(resendInterval)}
 	switch {
 	case r == nil || r.requester == "":
 		if h.runner.discardsOrphaned() {
@@ -105,12 +105,11 @@
 	h.retainedEnds[e.Number] = out
 }
 
-// expireRetainedEnds drops orphaned ends for which no holder came, and early RunSafe
-// messages whose ends were not listed, and sends old ends again; the caller holds
-// the lock.
-func (h *ownedUpstream) expireRetainedEnds(now time.Time) {
+// reviewRetainedEnds drops orphaned ends if no kept jobs exist, and early RunSafe messages
+// whose ends were not listed, and sends old ends again; the caller holds the lock.
+func (h *ownedUpstream) reviewRetainedEnds(now time.Time) {
 	for n, e := range h.retainedEnds {
-		if e.holder == "" && (now.After(e.expires) || h.runner.discardsOrphaned()) {
+		if e.holder == "" && h.runner.discardsOrphaned() {
 			delete(h.retainedEnds, n)
 		}
 		if e.holder != "" && now.After(e.resendAt) {
@@ -186,6 +185,36 @@
 	}
 }
 
+// appendUnsettled appends the unsettled ends.
+func (h *ownedUpstream) appendUnsettled(out []*wire.RunEnd, now time.Time) []*wire.RunEnd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range h.retainedEnds {
+		if now.After(e.settleAt) {
+			out = append(out, e.message(h.upstream.Name))
+		}
+	}
+	return out
+}
+
+// assignEnd sets the requester and the holder of a retained end and sends the end to that
+// requester, unless they are the same already.
+func (h *ownedUpstream) assignEnd(k key, requester, holder string) {
+	h.mu.Lock()
+	var assigned *wire.RunEnd
+	for n, e := range h.retainedEnds {
+		if e.key == k && (e.requester != requester || e.holder != holder) {
+			e.requester, e.holder, e.resendAt = requester, holder, time.Now().Add(resendInterval)
+			h.retainedEnds[n] = e
+			assigned = e.message(h.upstream.Name)
+		}
+	}
+	h.mu.Unlock()
+	if assigned != nil {
+		h.runner.Ended(requester, assigned)
+	}
+}
+
 // stopHolder stops the runs of a dead holder, which was retired at the given time, and
 // reports whether none is left. It also waits for orphaned runs, which may be the
 // holder's. After a release it waits for the end of their lease, as the upstream may be given
@@ -252,6 +281,25 @@
 	}
 }
 
+// UnsettledEnds returns the ends that upstreams have listed for a while, as nobody has told
+// this owner that their effect is stored.
+func (r *Runner) UnsettledEnds() []*wire.RunEnd {
+	var out []*wire.RunEnd
+	now := time.Now()
+	for _, h := range r.ownedUpstreams() {
+		out = h.appendUnsettled(out, now)
+	}
+	return out
+}
+
+// AssignEnd sends a retained end to the entry that holds the run's job, and again until the
+// end is released.
+func (r *Runner) AssignEnd(e *wire.RunEnd, requester, holder string) {
+	if h := r.find(e.GetUpstream()); h != nil {
+		h.assignEnd(key{e.GetTask(), e.GetRun()}, requester, holder)
+	}
+}
+
 // ResendEnds sends a requester that was disconnected its retained ends again.
 func (r *Runner) ResendEnds(requester string) {
 	for _, h := range r.ownedUpstreams() {
