Keeper: a takeover releases no ends, and another submission does not delay it

Cause: while the first write of the second submission is under way, which will fail, the entry seems to know the job. takeOverJob left the job out; then dropOrphans released the ends of the dead holder that no record had, also those of the jobs left out; and ends that were reported meanwhile went into the record of the submission, which is thrown away.

Change: a takeover releases nothing, as the comparison with the records does; ends go into a record only if it is stored; a takeover replaces a submission whose first write is under way. OrphanedEnd has no holder any more, as nothing depends on it: calls in four tests lose that argument, their checks are the same.

--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -51,7 +51,7 @@
 	JobEnded(job string, s State)
 	// OrphanedEnd reports the end of a run that no placed task of this entry
 	// waits for, by the step of the task and its index in that step.
-	OrphanedEnd(job string, step, index int, done bool, holder string, e End)
+	OrphanedEnd(job string, step, index int, done bool, e End)
 }
 
 // SubmitKept accepts a stored job. Its outcome is reported to the Keeper.
@@ -261,7 +261,7 @@
 // unless the job is an open one that is not kept; the caller holds the lock.
 func (c *Coordinator) reportOrphanedEnd(e *wire.RunEnd) {
 	if id, step, i, ok := ParseTask(e.GetTask()); ok && (c.jobs[id] == nil || c.jobs[id].kept()) {
-		c.Keeper.OrphanedEnd(id, step, i, e.GetCause() == wire.RunEnd_done, e.GetHolder(), endOf(e))
+		c.Keeper.OrphanedEnd(id, step, i, e.GetCause() == wire.RunEnd_done, endOf(e))
 	}
 }
 
--- a/lib/coordinator/kept_test.go
+++ b/lib/coordinator/kept_test.go
@@ -32,7 +32,7 @@
 	k.ended[job] = time.Now()
 }
 
-func (k *memoryKeeper) OrphanedEnd(string, int, int, bool, string, coordinator.End) {}
+func (k *memoryKeeper) OrphanedEnd(string, int, int, bool, coordinator.End) {}
 
 // A kept job has no deadline. It must not take the only free place for one of its
 // many tasks while the others can't follow in time, as then the narrow jobs behind it
--- a/lib/keeper/failures_test.go
+++ b/lib/keeper/failures_test.go
@@ -154,7 +154,7 @@
 		end := coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: run}
 		// The owner of the upstream reports an end again until it is released.
 		for range 2 {
-			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
+			n.keeper.OrphanedEnd("a", 0, 0, false, end)
 		}
 	}
 	if _, err := c.store.Swap(t.Context(), platform.Write{Key: recordKey("a"), Value: data}); err != nil && !errors.Is(err, platform.ErrUnknown) {
@@ -184,7 +184,7 @@
 		end := coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: 0}
 		// The owner of the upstream reports an end again until it is released.
 		for range 2 {
-			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
+			n.keeper.OrphanedEnd("a", 0, 0, false, end)
 		}
 		time.Sleep(time.Second)
 		if got := c.record("a").GetFailures()[0]; got != 1 {
@@ -192,7 +192,7 @@
 		}
 		for run := uint64(100); run < 102; run++ {
 			end.Run = run
-			n.keeper.OrphanedEnd("a", 0, 0, false, "entry-9@1", end)
+			n.keeper.OrphanedEnd("a", 0, 0, false, end)
 		}
 		time.Sleep(time.Second)
 		if state := c.stateOf("a"); state != "failed" {
@@ -214,7 +214,7 @@
 		n.submit("a", 1)
 		c.checkJobs([]string{"a"}, nil, 5*time.Second)
 		for _, done := range []bool{true, false} {
-			n.keeper.OrphanedEnd("forgotten", 0, 0, done, n.Holder(), coordinator.End{Upstream: "u00", Task: "forgotten.0.0.0", Run: 1})
+			n.keeper.OrphanedEnd("forgotten", 0, 0, done, coordinator.End{Upstream: "u00", Task: "forgotten.0.0.0", Run: 1})
 		}
 		n.submit("b", 1)
 		c.checkJobs([]string{"b"}, nil, 5*time.Second)
--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -484,7 +484,7 @@
 			t.Fatalf("submitted job: state %v, want accepted", s)
 		}
 		time.Sleep(300 * time.Millisecond)
-		n.keeper.OrphanedEnd("a", 0, 0, true, n.holder, coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: 0})
+		n.keeper.OrphanedEnd("a", 0, 0, true, coordinator.End{Upstream: "u00", Task: "a.0.0.0", Run: 0})
 		c.checkJobs([]string{"a"}, nil, 2*time.Second)
 		if s := c.fleet.Starts("a.0.0.0"); s != 1 {
 			t.Errorf("the task was started %d times, want 1", s)
--- a/lib/keeper/orphans.go
+++ b/lib/keeper/orphans.go
@@ -14,26 +14,26 @@
 	step     int
 	index    int
 	done     bool
-	holder   string
 	end      coordinator.End
 	received time.Time
 }
 
 // OrphanedEnd implements coordinator.Keeper.
-func (k *Keeper) OrphanedEnd(id string, step, index int, done bool, holder string, e coordinator.End) {
+func (k *Keeper) OrphanedEnd(id string, step, index int, done bool, e coordinator.End) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	j := k.jobs[id]
-	if j != nil && j.storedState == wire.KeptJob_open && j.record.GetHolder() != k.Identity.Holder() {
-		// The holder under which this entry ran the job was lost, so the job is
-		// about to be abandoned here.
+	if j != nil && j.storedState == wire.KeptJob_open && (j.revision == 0 || j.record.GetHolder() != k.Identity.Holder()) {
+		// Either this is another submission of a job that is stored already, whose record
+		// is not known here, or the holder under which this entry ran the job was lost and
+		// the job is about to be abandoned here.
 		j = nil
 	}
 	switch {
-	case j == nil && (holder == "" || holder != k.Identity.Holder()):
-		k.addOrphan(id, orphanedEnd{step: step, index: index, done: done, holder: holder, end: e, received: time.Now()})
-	case j != nil && (slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e)):
-	case j != nil && k.recordLateEnd(j, step, index, done, e):
+	case j == nil:
+		k.addOrphan(id, orphanedEnd{step: step, index: index, done: done, end: e, received: time.Now()})
+	case slices.Contains(j.unwrittenEnds, e) || slices.Contains(j.pendingEnds, e):
+	case k.recordLateEnd(j, step, index, done, e):
 	default:
 		// The result is already stored, or the job has ended.
 		go k.Jobs.ReleaseEnds([]coordinator.End{e})
@@ -99,23 +99,6 @@
 	}
 }
 
-// dropOrphans drops the ends of a holder's runs that were not added to any record,
-// which their upstreams may then forget.
-func (k *Keeper) dropOrphans(holder string) {
-	k.mu.Lock()
-	var dropped []coordinator.End
-	for id, ends := range k.orphans {
-		for _, s := range ends {
-			if s.holder == holder {
-				dropped = append(dropped, s.end)
-			}
-		}
-		k.setOrphans(id, slices.DeleteFunc(ends, func(s orphanedEnd) bool { return s.holder == holder }))
-	}
-	k.mu.Unlock()
-	k.Jobs.ReleaseEnds(dropped)
-}
-
 // setOrphans replaces the orphaned ends of a job; the caller holds the lock.
 func (k *Keeper) setOrphans(id string, ends []orphanedEnd) {
 	if len(ends) == 0 {
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -210,7 +210,6 @@
 		n++
 		k.takeOverJob(strings.TrimPrefix(kv.Key, Prefix), kv.Revision, r, self)
 	}
-	k.dropOrphans(holder)
 	return n, nil
 }
 
@@ -219,9 +218,10 @@
 func (k *Keeper) takeOverJob(id string, revision int64, r *wire.KeptJob, self string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.jobs[id] != nil {
+	if j := k.jobs[id]; j != nil && j.revision != 0 {
 		return
 	}
+	// The first write of another submission of the job, if there is one, will fail.
 	j := &keptJob{id: id, record: r, revision: revision, ready: make(chan struct{}), answer: acceptedAnswer}
 	close(j.ready)
 	r.Holder = self
