Keeper: a late answer to a write does not revoke a cancellation

What callers would see, shown in fake time only: GET of a job whose cancellation was acknowledged gives queued at its holder (MIXED), and its record stays in the store for good.

Cause: the store carries out a write of the holder and answers late; meanwhile another entry cancels the job, and the holder learns of that first. The answer then set state and revision of the job back to those of the write.

Evidence: the new test on: --- FAIL: TestLateAnswerDoesNotRevokeCancellation/first_write_true record of revision 2, <nil>, 4 minutes after the cancellation, want none --- FAIL: TestLateAnswerDoesNotRevokeCancellation/first_write_false entry-1: state "queued", <nil>, want cancelled record of revision 3, <nil>, 4 minutes after the cancellation, want none

Change: answers that come after the job was found cancelled change nothing, as a cancellation is final.

After: both pass, and all tests of the package.

--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -268,8 +268,14 @@
 	switch {
 	case err == nil:
 		k.mu.Lock()
-		j.stored(revision)
 		j.answer = acceptedAnswer
+		if j.storedState == wire.KeptJob_cancelled {
+			// A later write has cancelled the job already.
+			k.mu.Unlock()
+			close(j.ready)
+			return
+		}
+		j.stored(revision)
 		// If the holder was lost during the write, the entry that takes over
 		// its jobs runs this one too.
 		current := k.jobs[j.id] == j && k.Identity.Holder() == j.record.GetHolder()
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -123,6 +123,9 @@
 	k.mu.Lock()
 	j.writing = false
 	switch {
+	case j.storedState == wire.KeptJob_cancelled:
+		// The write came before the one that cancelled the job, or failed.
+		k.mu.Unlock()
 	case err == nil:
 		written, losses := j.pendingEnds, j.pendingLosses
 		j.stored(revision)
