Keeper: a notice of a cancellation says so, and is sent until it is confirmed

Cause: the notice to the holder said that the record had changed, and the holder read the store to learn how. The owners of the upstreams start what the holder asks for.

Evidence, on the code as it was with two more log lines, for a job cancelled at 54.11: the notice arrives at 54.115, the record cannot be read at 55.615, 57.317 and 59.020 (context deadline exceeded), job_changed_elsewhere at 59.111, as the cut heals. Ruled out: a lost or late notice.

Change: a cancellation is final, so the notice names the revision that says so, and the holder releases the job without the store and confirms that. It is sent again after each lost connection. Without a confirmation for 0.3 s all entries are told: they stop the job's runs, refuse further ones and tell the holder, too, which may be reachable from there only. Entries of an earlier release read the record as before. A job that was cancelled while its record was being written is not started at all.

--- a/lib/keeper/cancellation_test.go
+++ b/lib/keeper/cancellation_test.go
@@ -60,6 +60,91 @@
 	}
 }
 
+// Guards against UNASKED: the holder of cancelled jobs cannot read their records, so that tasks
+// at work, queued or waiting for a step go on.
+func TestCancellationReachesHolderWithoutTheStore(t *testing.T) {
+	for _, jobs := range []int{4, 20, 60} {
+		t.Run(fmt.Sprintf("%d jobs", jobs), func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T) {
+				c := newCluster(t, 16, 3, 6)
+				defer c.stop()
+				holder := c.alive()[0]
+				// Of 20 or 60 jobs most wait, as 12 tasks fill the upstreams.
+				ids := c.submitChains(holder, jobs)
+				holder.parted.Store(true)
+				time.Sleep(200 * time.Millisecond)
+				c.cancelAll(c.alive()[1], ids)
+				time.Sleep(100 * time.Millisecond)
+				c.checkNoStartsFor(ids, 7*time.Second)
+				holder.parted.Store(false)
+				c.checkNoStartsFor(ids, 10*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against UNASKED: the entry that cancelled the jobs cannot reach their holder, which
+// cannot read their records, and goes on asking the owners of the upstreams for runs.
+func TestCancellationReachesHolderThroughOtherEntries(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 17, 4, 12)
+		defer c.stop()
+		nodes := c.alive()
+		ids := c.submitChains(nodes[0], 8)
+		nodes[0].parted.Store(true)
+		c.cutPair("entry-1", "entry-2", true)
+		c.cancelAll(nodes[1], ids)
+		time.Sleep(time.Second)
+		c.checkNoStartsFor(ids, 6*time.Second)
+	})
+}
+
+// Guards against UNASKED: the holder of cancelled jobs is out of touch with everything but the
+// upstreams, and back in touch with the others before it can read the records. The entry that
+// cancelled the jobs is gone by then.
+func TestCancellationReachesHolderThatIsBackLate(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 18, 4, 12)
+		defer c.stop()
+		nodes := c.alive()
+		ids := c.submitChains(nodes[0], 8)
+		nodes[0].parted.Store(true)
+		for _, n := range nodes[1:] {
+			c.cutPair("entry-1", n.name, true)
+		}
+		c.cancelAll(nodes[1], ids)
+		time.Sleep(time.Second)
+		c.kill("entry-2")
+		time.Sleep(time.Second)
+		for _, n := range nodes[1:] {
+			c.cutPair("entry-1", n.name, false)
+		}
+		time.Sleep(200 * time.Millisecond)
+		c.checkNoStartsFor(ids, 5*time.Second)
+	})
+}
+
+// Guards against UNASKED: the connection over which the holder was told breaks, again and again.
+func TestCancellationIsSentAgainAfterBrokenConnections(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		c := newCluster(t, 19, 2, 12)
+		defer c.stop()
+		nodes := c.alive()
+		ids := c.submitChains(nodes[0], 4)
+		nodes[0].parted.Store(true)
+		nodes[1].losesNotices.Store(true)
+		c.cancelAll(nodes[1], ids)
+		for range 3 {
+			time.Sleep(200 * time.Millisecond)
+			nodes[1].keeper.ResendTo("entry-1")
+		}
+		nodes[1].losesNotices.Store(false)
+		nodes[1].keeper.ResendTo("entry-1")
+		time.Sleep(200 * time.Millisecond)
+		c.checkNoStartsFor(ids, 5*time.Second)
+	})
+}
+
 // Guards against MIXED and records that stay for good: the answer to a write of the holder that
 // came before the cancellation arrives after the notice of it.
 func TestLateAnswerDoesNotRevokeCancellation(t *testing.T) {
@@ -98,3 +183,29 @@
 		})
 	}
 }
+
+// cutPair cuts the connection between two entries, which notice that after peerTimeout, or heals
+// the cut.
+func (c *cluster) cutPair(a, b string, cut bool) {
+	c.mu.Lock()
+	c.cut[[2]string{min(a, b), max(a, b)}] = cut
+	na, nb := c.nodes[a], c.nodes[b]
+	c.mu.Unlock()
+	change := func(n, peer *node) {
+		if n == nil || peer == nil {
+			return
+		}
+		if !cut {
+			n.PeerUp(peer.name, 2)
+			n.runner.ResendEnds(peer.name)
+			return
+		}
+		time.AfterFunc(peerTimeout, func() {
+			n.PeerDown(peer.name)
+			n.keeper.ResendTo(peer.name)
+			n.runner.Detach(peer.name)
+		})
+	}
+	change(na, nb)
+	change(nb, na)
+}
--- a/lib/keeper/claims.go
+++ b/lib/keeper/claims.go
@@ -78,12 +78,15 @@
 	}
 }
 
-// ResendClaims makes unanswered claims be sent again to an entry whose
-// connection was lost.
-func (k *Keeper) ResendClaims(peer string) {
+// ResendTo makes the claims and cancellations that an entry has not answered be sent to it
+// again after its connection was lost.
+func (k *Keeper) ResendTo(peer string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, t := range k.takeovers {
 		delete(t.sent, peer)
 	}
+	for _, a := range k.announcements {
+		delete(a.told, peer)
+	}
 }
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -52,6 +52,8 @@
 	// others and from the store.
 	nodes    map[string]*node
 	isolated map[string]bool
+	// cut holds the pairs of entries, in order of their names, that cannot reach each other.
+	cut map[[2]string]bool
 	// registered holds the incarnations of the registered entries, which own the
 	// upstreams, by name.
 	registered map[string]string
@@ -77,6 +79,8 @@
 	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
 	// changed records.
 	losesReleases, losesNotices atomic.Bool
+	// parted is true while the entry is cut off from the store.
+	parted atomic.Bool
 
 	*coordinator.Coordinator
 	runner *runner.Runner
@@ -88,7 +92,7 @@
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), fleet: simulator.New(), store: newStore(seed),
 		interval: 20 * time.Millisecond,
-		nodes:    make(map[string]*node), isolated: make(map[string]bool), registered: make(map[string]string), holders: make(map[string]bool),
+		nodes:    make(map[string]*node), isolated: make(map[string]bool), cut: make(map[[2]string]bool), registered: make(map[string]string), holders: make(map[string]bool),
 	}
 	c.fleet.Amount = need
 	c.fleet.Kept = func(string) bool { return true }
@@ -118,8 +122,9 @@
 	n.Coordinator = &coordinator.Coordinator{Self: name, PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
 	n.runner = &runner.Runner{Client: c.fleet, Ended: n.sendEnd, Changed: n.publishState, Log: nopLog}
 	n.Local = localRunner{n.runner, n}
-	commits := &committer.Committer{Store: c.store, Interval: func() time.Duration { return c.interval }, Log: nopLog}
-	n.keeper = &keeper.Keeper{Self: name, Store: c.store, Committer: commits, Jobs: n.Coordinator, Runs: n.runner, Identity: n, Peers: n, Log: nopLog}
+	link := &storeLink{c.store, n}
+	commits := &committer.Committer{Store: link, Interval: func() time.Duration { return c.interval }, Log: nopLog}
+	n.keeper = &keeper.Keeper{Self: name, Store: link, Committer: commits, Jobs: n.Coordinator, Runs: n.runner, Identity: n, Peers: n, Log: nopLog}
 	n.keeper.Init()
 	n.Keeper = n.keeper
 	n.Init(n.ctx)
@@ -163,7 +168,7 @@
 		}
 		for _, other := range c.alive() {
 			other.PeerDown(name)
-			other.keeper.ResendClaims(name)
+			other.keeper.ResendTo(name)
 			other.runner.Detach(name)
 			other.runner.CancelDetached(other.ctx, name, time.Now(), false)
 		}
@@ -200,7 +205,7 @@
 		for _, other := range c.alive() {
 			if other.name != name {
 				other.PeerDown(name)
-				other.keeper.ResendClaims(name)
+				other.keeper.ResendTo(name)
 			}
 		}
 	})
@@ -286,7 +291,7 @@
 	c := n.cluster
 	c.mu.Lock()
 	p := c.nodes[peer]
-	cut := c.isolated[n.name] || c.isolated[peer]
+	cut := c.isolated[n.name] || c.isolated[peer] || c.cut[[2]string{min(n.name, peer), max(n.name, peer)}]
 	c.mu.Unlock()
 	if p == nil || cut {
 		return false
@@ -398,6 +403,16 @@
 	}
 }
 
+// SendCancellation implements keeper.Peers.
+func (n *node) SendCancellation(peer string, x keeper.Cancellation) bool {
+	return n.losesNotices.Load() || n.deliver(peer, func(p *node) { p.keeper.CancellationReceived(p.ctx, n.name, x) })
+}
+
+// ConfirmCancellation implements keeper.Peers.
+func (n *node) ConfirmCancellation(peer, job string) {
+	n.deliver(peer, func(p *node) { p.keeper.CancellationConfirmed(n.name, job) })
+}
+
 // AnnounceKeptJobs implements keeper.Peers.
 func (n *node) AnnounceKeptJobs() {
 	for _, p := range n.cluster.alive() {
@@ -596,6 +611,43 @@
 	return s.revision, s.answersLate, nil
 }
 
+// storeLink is the way from an entry to the store.
+type storeLink struct {
+	*store
+	node *node
+}
+
+// wait waits until a call of an entry that is cut off has failed, and reports whether the
+// entry is.
+func (l *storeLink) wait(ctx context.Context) bool {
+	if !l.node.parted.Load() {
+		return false
+	}
+	<-ctx.Done()
+	return true
+}
+
+func (l *storeLink) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	if l.wait(ctx) {
+		return platform.KeyValue{}, ctx.Err()
+	}
+	return l.store.Get(ctx, key)
+}
+
+func (l *storeLink) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	if l.wait(ctx) {
+		return platform.Snapshot{}, ctx.Err()
+	}
+	return l.store.List(ctx, prefix)
+}
+
+func (l *storeLink) Swap(ctx context.Context, writes ...platform.Write) (int64, error) {
+	if l.wait(ctx) {
+		return 0, platform.ErrUnknown
+	}
+	return l.store.Swap(ctx, writes...)
+}
+
 // setAnswersLate sets how much later than its effect a write is answered.
 func (s *store) setAnswersLate(late time.Duration) {
 	s.mu.Lock()
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -105,6 +105,11 @@
 	Claim(peer, holder string)
 	// Notify tells an entry to read the record of a job again.
 	Notify(peer, job string)
+	// SendCancellation tells an entry that a job is cancelled. It returns false if the entry
+	// cannot be reached.
+	SendCancellation(peer string, c Cancellation) bool
+	// ConfirmCancellation tells an entry that this one does not run a cancelled job any more.
+	ConfirmCancellation(peer, job string)
 	// AnnounceKeptJobs tells all entries that kept jobs exist.
 	AnnounceKeptJobs()
 	// ReportNoKeptJobs tells this entry that no kept jobs exist, so that its runner
@@ -138,6 +143,10 @@
 	// unheld holds the jobs of lost holders that this entry counts as pending.
 	unheld map[string]unheldJob
 	review chan struct{}
+	// announcements holds the cancellations that their holders have not confirmed, by job,
+	// and announced wakes announce.
+	announcements map[string]*announcement
+	announced     chan struct{}
 	// verifyFrom is the position at which the next unattended runs are verified.
 	verifyFrom int
 	// keptJobsExist is true once any entry is known to have kept jobs.
@@ -181,7 +190,8 @@
 func (k *Keeper) Init() {
 	k.jobs, k.orphans = make(map[string]*keptJob), make(map[string][]orphanedEnd)
 	k.takeovers, k.unheld = make(map[string]*takeover), make(map[string]unheldJob)
-	k.review = make(chan struct{}, 1)
+	k.announcements = make(map[string]*announcement)
+	k.review, k.announced = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
 // Holder implements coordinator.Keeper.
@@ -324,19 +334,28 @@
 	}
 }
 
-// startJob submits a stored job to the coordinator, and releases it there if the
-// job was cancelled or abandoned in the meantime.
+// startJob submits a stored job to the coordinator, unless the job was cancelled or abandoned
+// in the meantime, and releases it there if that happens while it is submitted.
 func (k *Keeper) startJob(j *keptJob, job coordinator.Job) {
+	if k.isDropped(j) {
+		return
+	}
 	k.Jobs.SubmitKept(job)
 	k.mu.Lock()
 	delete(k.unheld, j.id)
-	dropped := k.jobs[j.id] != j || j.record.GetState() == wire.KeptJob_cancelled
 	k.mu.Unlock()
-	if dropped {
+	if k.isDropped(j) {
 		k.Jobs.Release(j.id)
 	}
 }
 
+// isDropped reports whether this entry must not run a stored job any more.
+func (k *Keeper) isDropped(j *keptJob) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.jobs[j.id] != j || j.record.GetState() == wire.KeptJob_cancelled
+}
+
 // forget drops a job from memory.
 func (k *Keeper) forget(j *keptJob) {
 	k.mu.Lock()
--- a/lib/keeper/state.go
+++ b/lib/keeper/state.go
@@ -79,7 +79,7 @@
 		holder := record.GetHolder()
 		if record.GetState() == wire.KeptJob_cancelled {
 			// Whoever wrote that may not have been able to tell the holder.
-			k.notifyHolder(id, holder)
+			k.announceCancellation(Cancellation{Job: id, Holder: holder, Revision: revision}, true)
 			return true, nil
 		}
 		if revision == 0 || record.GetState() != wire.KeptJob_open {
@@ -87,10 +87,10 @@
 		}
 		record = &wire.KeptJob{State: wire.KeptJob_cancelled, Queue: record.GetQueue(), Holder: holder, Term: record.GetTerm()}
 		result := make(chan error, 1)
-		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: revision}, func(_ int64, err error) {
+		k.Committer.Commit(platform.Write{Key: Prefix + id, Value: encode(record), Expected: revision}, func(revision int64, err error) {
 			if err == nil {
 				// The caller may have left before the outcome of the write was known.
-				k.notifyHolder(id, holder)
+				k.announceCancellation(Cancellation{Job: id, Holder: holder, Revision: revision}, true)
 			}
 			result <- err
 		})
@@ -109,25 +109,14 @@
 	return false, platform.ErrConflict
 }
 
-// notifyHolder tells the entry that holds a job that its record was changed. If the notice
-// is lost, the holder notices the change as it verifies the record.
-func (k *Keeper) notifyHolder(id, holder string) {
-	name := entryOf(holder)
-	if name == k.Self {
-		k.Reload(id)
-		return
-	}
-	k.Peers.Notify(name, id)
-}
-
 // entryOf returns the name of the entry that has or had a holder.
 func entryOf(holder string) string {
 	name, _, _ := strings.Cut(holder, "@")
 	return name
 }
 
-// Reload reads the record of a job again in the background, after another entry
-// cancelled it or found that its holder is gone.
+// Reload reads the record of a job again in the background, after another entry found that
+// its holder is gone.
 func (k *Keeper) Reload(id string) {
 	k.mu.Lock()
 	j := k.jobs[id]
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -49,10 +49,11 @@
 // Run takes over the jobs of lost holders, and compares the jobs of this entry and the ends
 // that it knows with the records, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	var comparisons sync.WaitGroup
-	comparisons.Go(func() { k.verify(ctx) })
-	comparisons.Go(func() { k.settle(ctx) })
-	defer comparisons.Wait()
+	var background sync.WaitGroup
+	background.Go(func() { k.verify(ctx) })
+	background.Go(func() { k.settle(ctx) })
+	background.Go(func() { k.announce(ctx) })
+	defer background.Wait()
 	reviewed := false
 	for ctx.Err() == nil {
 		select {
--- a/lib/keeper/verifier.go
+++ b/lib/keeper/verifier.go
@@ -25,8 +25,9 @@
 	// UnattendedJobs returns the kept jobs with runs whose requester is unreachable, so
 	// that it could not stop them.
 	UnattendedJobs() []string
-	// StopJob stops all runs of a job and returns their number.
-	StopJob(ctx context.Context, job string) int
+	// CancelJob stops all runs of a job, refuses further ones until the given time and returns
+	// the number of those stopped.
+	CancelJob(ctx context.Context, job string, until time.Time) int
 	// UnsettledEnds returns the ends that upstreams have listed for a while.
 	UnsettledEnds() []*wire.RunEnd
 	// AssignEnd sends an end to the entry that holds the run's job, until Safe is called.
@@ -107,7 +108,7 @@
 		if revision != 0 && state == wire.KeptJob_open {
 			continue
 		}
-		if stopped := k.Runs.StopJob(ctx, id); stopped > 0 {
+		if stopped := k.Runs.CancelJob(ctx, id, time.Now().Add(outcomeRetention)); stopped > 0 {
 			k.Log.Info().Str("job", id).Stringer("state", state).Int("runs", stopped).Msg("unattended_runs_stopped")
 		}
 	}
--- a/lib/keeper/writer.go
+++ b/lib/keeper/writer.go
@@ -209,18 +209,14 @@
 		return
 	}
 	cancelled := record.GetState() == wire.KeptJob_cancelled
-	safe := append(j.pendingEnds, j.unwrittenEnds...)
-	j.pendingEnds, j.unwrittenEnds = nil, nil
+	var ends []coordinator.End
 	if cancelled {
-		j.record, j.storedState, j.revision = record, record.GetState(), revision
-		time.AfterFunc(outcomeRetention, func() { k.removeRecord(j) })
+		ends = k.setCancelled(j, record, revision)
 	} else {
 		delete(k.jobs, j.id)
 	}
 	k.mu.Unlock()
 	k.Log.Info().Str("job", j.id).Bool("cancelled", cancelled).Str("holder", record.GetHolder()).Msg("job_changed_elsewhere")
 	k.Jobs.Release(j.id)
-	if cancelled {
-		k.Jobs.ReleaseEnds(safe)
-	}
+	k.Jobs.ReleaseEnds(ends)
 }
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -368,8 +369,17 @@
 	return out
 }
 
-// StopJob stops all runs of a job and returns their number.
-func (r *Runner) StopJob(ctx context.Context, job string) int {
+// CancelJob stops all runs of a job that has ended, refuses further ones until the given time,
+// and returns the number of those stopped.
+func (r *Runner) CancelJob(ctx context.Context, job string, until time.Time) int {
+	r.retiredMu.Lock()
+	if r.cancelledJobs == nil {
+		r.cancelledJobs = make(map[string]time.Time)
+	}
+	now := time.Now()
+	maps.DeleteFunc(r.cancelledJobs, func(_ string, until time.Time) bool { return now.After(until) })
+	r.cancelledJobs[job] = until
+	r.retiredMu.Unlock()
 	n := 0
 	for _, h := range r.ownedUpstreams() {
 		n += h.stopJob(ctx, job)
@@ -403,6 +413,13 @@
 	return holder != "" && !r.retiredHolders[holder].IsZero()
 }
 
+// isCancelled reports whether runs of a job are refused, as the job has ended.
+func (r *Runner) isCancelled(job string) bool {
+	r.retiredMu.RLock()
+	defer r.retiredMu.RUnlock()
+	return len(r.cancelledJobs) > 0 && time.Now().Before(r.cancelledJobs[job])
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -161,6 +161,8 @@
 	retiredMu sync.RWMutex
 	// retiredHolders holds, with the time, the holders whose jobs were taken over.
 	retiredHolders map[string]time.Time
+	// cancelledJobs holds, with the time until then, the jobs whose runs are refused.
+	cancelledJobs map[string]time.Time
 }
 
 // attachment is a request for the end of a run that was started before.
--- a/radishweir/internal/composer/fuzz_test.go
+++ b/radishweir/internal/composer/fuzz_test.go
@@ -79,6 +79,7 @@
 		{Ends: []*wire.RunEnd{{Task: "a.0.0.0", Run: 1, Upstream: "u1", Cause: wire.RunEnd_done}, {Task: "a.0.9.-1"}, {}}},
 		{Upstreams: []*wire.UpstreamState{{Upstream: "u1", Free: &wire.Amount{Cpu: -1}, Slowness: -1, Usable: true, Token: 9}, {}}, Whole: true},
 		{Taken: 1 << 63, TakenSession: 1, Safe: []*wire.RunSafe{{Upstream: "u1"}}, Claims: []*wire.Holder{{Holder: "x@1"}}, Claimed: []*wire.Holder{{}}},
+		{Notices: []*wire.KeptNotice{{Job: "a", CancelledAt: 1, Holder: "entry-1@1"}, {Job: "b", CancelledAt: -1}, {CancelledAt: 1 << 62, Holder: "@"}}, Released: []string{"a", ""}},
 		{Notices: []*wire.KeptNotice{{Job: "a"}}, Pending: map[string]int64{"check": -1}, Keeping: true},
 		{ListSubscription: 1, ListFrom: -1, ListUpdate: &wire.ListUpdate{Whole: true, Items: []*wire.ListItem{{Key: adapter.UpstreamPrefix + "u2", Value: []byte("{")}}}},
 	} {
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -89,6 +89,18 @@
 	p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Notices = append(f.Notices, &wire.KeptNotice{Job: job}) })
 }
 
+// SendCancellation implements keeper.Peers.
+func (p *peers) SendCancellation(peer string, c keeper.Cancellation) bool {
+	n := &wire.KeptNotice{Job: c.Job, CancelledAt: c.Revision, Holder: c.Holder}
+	return p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Notices = append(f.Notices, n) })
+}
+
+// ConfirmCancellation implements keeper.Peers.
+func (p *peers) ConfirmCancellation(peer, job string) {
+	// If this gets lost, the peer sends the cancellation again.
+	p.messenger.Send(peer, func(f *wire.PeerFrame) { f.Released = append(f.Released, job) })
+}
+
 // AnnounceKeptJobs implements keeper.Peers.
 func (p *peers) AnnounceKeptJobs() {
 	p.runner.RetainOrphanedEnds()
@@ -139,7 +151,14 @@
 		e.keeper.ClaimAnswered(peer, (*peers)(e).Incarnations()[peer], c.GetHolder(), divider.View(c.GetView()))
 	}
 	for _, n := range f.GetNotices() {
-		e.keeper.Reload(n.GetJob())
+		if n.GetCancelledAt() == 0 {
+			e.keeper.Reload(n.GetJob())
+			continue
+		}
+		e.keeper.CancellationReceived(e.ctx, peer, keeper.Cancellation{Job: n.GetJob(), Holder: n.GetHolder(), Revision: n.GetCancelledAt()})
+	}
+	for _, job := range f.GetReleased() {
+		e.keeper.CancellationConfirmed(peer, job)
 	}
 }
 
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -179,7 +179,7 @@
 	e.received.peerDown(peer)
 	e.coordinator.PeerDown(peer)
 	e.relayer.PeerDown(peer)
-	e.keeper.ResendClaims(peer)
+	e.keeper.ResendTo(peer)
 	time.AfterFunc(cancelDelay, func() { e.cancelDetached(peer, false) })
 }
 
