Committer: two writes of one key do not go into the same transaction

What callers would see, shown in fake time only: a job whose cancellation was acknowledged is shown as complete, by all entries.

Cause: an entry cancels a job that it holds itself while the job's last task ends. Both writes expect the same revision of the record. In one transaction both expectations hold, and the second value stays, though the first write is reported as done, too.

Change: a batch ends before a write whose key it has already.

--- a/lib/committer/committer.go
+++ b/lib/committer/committer.go
@@ -1,7 +1,7 @@
 // Package committer batches independent writes to the platform's store into few
 // transactions.
 //
-// Writes that are queued at the same time go into one transaction. A transaction
+// Writes of different keys that are queued at the same time go into one transaction. A transaction
 // is all or nothing, so after a conflict each of its writes is tried alone. A write
 // whose answer was lost is retried until its outcome is known.
 //
@@ -105,13 +105,21 @@
 	}
 }
 
-// nextBatch removes the changes of the next transaction from the queue.
+// nextBatch removes the changes of the next transaction from the queue. Two writes of one key
+// do not go into the same transaction: both would be compared with the value before it, so that
+// the second overwrites the first.
 func (c *Committer) nextBatch() []queuedWrite {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, size := 0, 0
-	for n < len(c.queue) && n < batchLimit && (n == 0 || size+len(c.queue[n].write.Value) <= batchBytes) {
-		size += len(c.queue[n].write.Value)
+	keys := make(map[string]bool)
+	for n < len(c.queue) && n < batchLimit {
+		w := c.queue[n].write
+		if keys[w.Key] || (n > 0 && size+len(w.Value) > batchBytes) {
+			break
+		}
+		keys[w.Key] = true
+		size += len(w.Value)
 		n++
 	}
 	batch := c.queue[:n:n]
--- a/lib/committer/committer_test.go
+++ b/lib/committer/committer_test.go
@@ -139,3 +139,25 @@
 		}
 	}
 }
+
+// Guards against an acknowledged write that another one of the same key revokes: both expect the
+// same revision and go into one transaction.
+func TestWritesOfOneKeyConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &store{items: make(map[string]platform.KeyValue)}
+		c := &committer.Committer{Store: s, Log: zerolog.Nop()}
+		var results []error
+		for _, value := range []string{"cancelled", "complete"} {
+			c.Commit(platform.Write{Key: "a", Value: []byte(value)}, func(_ int64, err error) { results = append(results, err) })
+			c.Commit(platform.Write{Key: "b " + value}, func(int64, error) {})
+		}
+		go c.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if len(results) != 2 || results[0] != nil || results[1] != platform.ErrConflict || string(s.items["a"].Value) != "cancelled" {
+			t.Errorf("results %v and value %q, want one success, a conflict and the value of the first", results, s.items["a"].Value)
+		}
+	})
+}
