Test: kept jobs under random disturbances that come in series and overlap

Entries that are cut off from the store or from each other, or killed; the store down; upstreams cut off; jobs submitted again and cancelled, also as their holder is cut off. It checks that accepted jobs end, that no task starts after its success was acknowledged, that no entry in touch starts a task 3 s after the cancellation of its job, and that a cancelled job stays cancelled.

--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -113,7 +113,7 @@
 	c.mu.Lock()
 	c.starts++
 	n := &node{cluster: c, name: name, incarnation: fmt.Sprintf("life-%d", c.starts)}
-	n.ctx, n.cancel = context.WithCancel(c.t.Context())
+	n.ctx, n.cancel = context.WithCancel(simulator.WithSender(c.t.Context(), name))
 	old := c.nodes[name]
 	c.mu.Unlock()
 	if old != nil {
@@ -143,7 +143,7 @@
 	}
 	c.mu.Unlock()
 	for _, other := range c.alive() {
-		if other != n {
+		if other != n && !c.isCut(name, other.name) {
 			n.PeerUp(other.name, 1)
 			other.PeerUp(name, 1)
 			other.runner.ResendEnds(name)
@@ -195,6 +195,42 @@
 	})
 }
 
+// pairOf returns the key of a pair of entries in cut.
+func pairOf(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// isCut reports whether two entries cannot reach each other.
+func (c *cluster) isCut(a, b string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[pairOf(a, b)]
+}
+
+// cutPair cuts the connection between two entries, which notice that after peerTimeout, or heals
+// the cut.
+func (c *cluster) cutPair(a, b string, cut bool) {
+	c.mu.Lock()
+	c.cut[pairOf(a, b)] = cut
+	na, nb := c.nodes[a], c.nodes[b]
+	c.mu.Unlock()
+	change := func(n, peer *node) {
+		if !cut {
+			n.runner.Detach(peer.name)
+			n.PeerUp(peer.name, 2)
+			n.runner.ResendEnds(peer.name)
+			return
+		}
+		time.AfterFunc(peerTimeout, func() {
+			n.PeerDown(peer.name)
+			n.keeper.ResendTo(peer.name)
+			n.runner.Detach(peer.name)
+		})
+	}
+	if na != nil && nb != nil {
+		change(na, nb)
+		change(nb, na)
+	}
+}
+
 // isolate cuts an entry off from the others and from the store, but not from the upstreams.
 // Its registration expires after registrationTTL.
 func (c *cluster) isolate(name string) {
@@ -291,7 +327,7 @@
 	c := n.cluster
 	c.mu.Lock()
 	p := c.nodes[peer]
-	cut := c.isolated[n.name] || c.isolated[peer] || c.cut[[2]string{min(n.name, peer), max(n.name, peer)}]
+	cut := c.isolated[n.name] || c.isolated[peer] || c.cut[pairOf(n.name, peer)]
 	c.mu.Unlock()
 	if p == nil || cut {
 		return false
