Keeper: split the sending of announcements

Who is told when is a method of the announcement; the unconfirmed ones are counted in one line, as many jobs may be cancelled at once.

--- a/lib/keeper/cancellation.go
+++ b/lib/keeper/cancellation.go
@@ -80,37 +80,31 @@
 // sendAnnouncements sends all announcements to the entries that have not been told, and
 // reports whether any is left without a confirmation.
 func (k *Keeper) sendAnnouncements(ctx context.Context) bool {
-	now := time.Now()
-	names := slices.Sorted(maps.Keys(k.Peers.Incarnations()))
-	k.mu.Lock()
+	now, names := time.Now(), slices.Sorted(maps.Keys(k.Peers.Incarnations()))
 	unsent := make(map[string][]Cancellation)
 	var enforced []string
+	k.mu.Lock()
 	for job, a := range k.announcements {
 		if now.After(a.expires) {
 			delete(k.announcements, job)
 			continue
 		}
-		holder := entryOf(a.Holder)
-		if holder != k.Self && !a.told[holder] {
-			unsent[holder] = append(unsent[holder], a.Cancellation)
-		}
-		if a.spreadAt.IsZero() || now.Before(a.spreadAt) {
-			continue
+		for _, name := range a.recipients(names, now) {
+			if name != k.Self {
+				unsent[name] = append(unsent[name], a.Cancellation)
+			}
 		}
-		if !a.enforced {
+		if a.isSpread(now) && !a.enforced {
 			a.enforced = true
 			enforced = append(enforced, job)
 		}
-		for _, name := range names {
-			if name != k.Self && name != holder && !a.told[name] {
-				unsent[name] = append(unsent[name], a.Cancellation)
-			}
-		}
 	}
 	left := len(k.announcements) > 0
 	k.mu.Unlock()
+	if len(enforced) > 0 {
+		k.Log.Info().Int("jobs", len(enforced)).Msg("cancellations_unconfirmed")
+	}
 	for _, job := range enforced {
-		k.Log.Info().Str("job", job).Msg("cancellation_unconfirmed")
 		k.cancelRuns(ctx, job)
 	}
 	for name, list := range unsent {
@@ -124,6 +118,22 @@
 	return left
 }
 
+// isSpread reports whether all entries are to be told, not only the holder.
+func (a *announcement) isSpread(now time.Time) bool {
+	return !a.spreadAt.IsZero() && !now.Before(a.spreadAt)
+}
+
+// recipients returns the entries that are to be told and have not been, of all entries or the
+// holder's alone.
+func (a *announcement) recipients(all []string, now time.Time) []string {
+	out := []string{entryOf(a.Holder)}
+	if a.isSpread(now) {
+		out = append(out, all...)
+	}
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(name string) bool { return a.told[name] })
+}
+
 // markTold records that an entry was told of a cancellation.
 func (k *Keeper) markTold(name string, c Cancellation) {
 	k.mu.Lock()
