--- a/lib/keeper/settler.go
+++ b/lib/keeper/settler.go
@@ -49,9 +49,17 @@
 		k.Log.Info().Int("jobs", len(ids)).Err(err).Msg("ends_not_settled")
 		return
 	}
+	holders := k.Identity.Holders()
 	for _, id := range orphans {
-		k.settleOrphans(id, records[id])
+		k.settleOrphans(id, records[id], holders)
 	}
+	if len(retained) > 0 {
+		k.settleRetained(retained, records, holders)
+	}
+}
+
+// settleRetained settles the ends that this entry retains as the owner of their upstreams.
+func (k *Keeper) settleRetained(retained []*wire.RunEnd, records map[string]*wire.KeptJob, holders map[string]bool) {
 	released, assigned := 0, 0
 	for _, e := range retained {
 		record := records[jobOfTask(e.GetTask())]
@@ -60,7 +68,7 @@
 		case !lacksEnd(record, e):
 			released++
 			k.Runs.Safe(&wire.RunSafe{Upstream: e.GetUpstream(), Task: e.GetTask(), Run: e.GetRun()})
-		case k.Identity.Holders()[holder]:
+		case holders[holder]:
 			assigned++
 			k.Runs.AssignEnd(e, entryOf(holder), holder)
 		default:
@@ -71,13 +79,15 @@
 	k.Log.Info().Int("released", released).Int("held", assigned).Int("waiting", len(retained)-released-assigned).Msg("ends_settled")
 }
 
-// readRecords reads the records of jobs. Those that do not exist are left out.
+// readRecords reads the records of jobs, given in order of their names. Those that do not exist
+// are left out.
 func (k *Keeper) readRecords(ctx context.Context, ids []string) (map[string]*wire.KeptJob, error) {
 	out := make(map[string]*wire.KeptJob)
 	if len(ids) > maxSingleReads {
 		list, err := k.list(ctx)
 		for _, kv := range list {
-			if id := strings.TrimPrefix(kv.Key, Prefix); slices.Contains(ids, id) {
+			id := strings.TrimPrefix(kv.Key, Prefix)
+			if _, found := slices.BinarySearch(ids, id); found {
 				out[id] = decode(kv.Value)
 			}
 		}
@@ -111,8 +121,8 @@
 // settleOrphans drops the orphaned ends of a job that this entry need not add to the record
 // at a takeover: those that the record does not lack, which it also releases, and all while
 // the job has a holder, which the owners of the upstreams report the others to.
-func (k *Keeper) settleOrphans(id string, record *wire.KeptJob) {
-	held := k.Identity.Holders()[record.GetHolder()]
+func (k *Keeper) settleOrphans(id string, record *wire.KeptJob, holders map[string]bool) {
+	held := holders[record.GetHolder()]
 	k.mu.Lock()
 	var unneeded []coordinator.End
 	k.setOrphans(id, slices.DeleteFunc(k.orphans[id], func(s orphanedEnd) bool {
