Runner: an owner stops runs of cancelled jobs that it is asked for later

What callers would see: a task of a cancelled job runs on to its end, after its upstream changed its owner while the job's holder did not know of the cancellation.

Cause: an entry that is told of a cancellation stops the job's runs on the upstreams that it owns then. It refused new runs later, but not a request for one that a former owner had started.

Change: each report of an upstream shows an owner which of its runs are of cancelled jobs, and it stops them.

--- a/lib/committer/committer.go
+++ b/lib/committer/committer.go
@@ -1,9 +1,10 @@
 // Package committer batches independent writes to the platform's store into few
 // transactions.
 //
-// Writes of different keys that are queued at the same time go into one transaction. A transaction
-// is all or nothing, so after a conflict each of its writes is tried alone. A write
-// whose answer was lost is retried until its outcome is known.
+// Writes of different keys that are queued at the same time go into one
+// transaction. A transaction is all or nothing, so after a conflict each of its
+// writes is tried alone. A write whose answer was lost is retried until its outcome
+// is known.
 //
 // # Usage
 //
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -4,8 +4,10 @@
 //
 // A job is accepted once its record is in the store. The record names the holder
 // of the job, which is the leased identity of the entry that runs it. The result
-// of a run is stored before the upstream is allowed to forget the run's end. An end that is
-// listed for long is compared with the record of its job, which shows whether the job needs it.
+// of a run is stored before the upstream is allowed to forget the run's end. An end
+// that is listed for long is compared with the record of its job, which shows
+// whether the job needs it. Any entry may cancel a job; it tells the holder until
+// that has confirmed it, as the holder may be unable to read the record.
 //
 // When a holder is gone, one of the registered entries takes over its open jobs.
 // That entry first asks every entry to stop the holder's runs and to report the
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -222,7 +222,8 @@
 	if j := k.jobs[id]; j != nil && j.revision != 0 {
 		return
 	}
-	// The first write of another submission of the job, if there is one, will fail.
+	// This replaces another submission of the job whose first write is under way. That write
+	// fails, as there is a record.
 	j := &keptJob{id: id, record: r, revision: revision, ready: make(chan struct{}), answer: acceptedAnswer}
 	close(j.ready)
 	r.Holder = self
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -309,13 +309,15 @@
 }
 
 // updateRun updates a run that is listed, and stops it if it is orphaned for too
-// long or stalled; the caller holds the lock.
+// long, stalled, or of a cancelled job whose holder asked for it again; the caller holds the
+// lock.
 func (h *ownedUpstream) updateRun(ctx context.Context, k key, r *run, l ActiveRun, now time.Time) {
 	if r.phase != running {
 		r.phase, r.confirmedAt = running, now
 	}
 	abandoned := r.requester == "" && now.After(r.attachDeadline)
-	if !r.stopping && (abandoned || h.ejectIfStalled(r, l.Percent, now)) {
+	cancelled := r.request.GetHolder() != "" && h.runner.isCancelled(k.task)
+	if !r.stopping && (abandoned || cancelled || h.ejectIfStalled(r, l.Percent, now)) {
 		h.stopLocked(ctx, k, r)
 	}
 }
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -413,11 +413,11 @@
 	return holder != "" && !r.retiredHolders[holder].IsZero()
 }
 
-// isCancelled reports whether runs of a job are refused, as the job has ended.
-func (r *Runner) isCancelled(job string) bool {
+// isCancelled reports whether runs of a task are refused, as its job has ended.
+func (r *Runner) isCancelled(task string) bool {
 	r.retiredMu.RLock()
 	defer r.retiredMu.RUnlock()
-	return len(r.cancelledJobs) > 0 && time.Now().Before(r.cancelledJobs[job])
+	return len(r.cancelledJobs) > 0 && time.Now().Before(r.cancelledJobs[jobOf(task)])
 }
 
 // latest returns the later of two times.
