--- a/lib/keeper/cancellation.go
+++ b/lib/keeper/cancellation.go
@@ -19,17 +19,17 @@
 	confirmationWait = 300 * time.Millisecond
 )
 
-// Cancellation says that the record of a job says that the job is cancelled. That is final.
+// Cancellation is a change of a job's record to cancelled, which is final.
 type Cancellation struct {
 	Job string
 	// Holder is the holder that the record names. Its entry runs the job.
 	Holder string
-	// Revision is that of the record.
+	// Revision is the one at which the record was changed.
 	Revision int64
 }
 
 // announcement is a cancellation that the holder has not confirmed. The holder may be unable
-// to read the record, so the other entries tell it, and run nothing for it.
+// to read the record, so the other entries tell it, and start no run of the job.
 type announcement struct {
 	Cancellation
 	// spreadAt is when all entries are told; zero if another entry does that.
