--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -53,6 +53,7 @@
 		build(p, p, *raceDetector)
 	}
 	build(proxyProgram, "standin", false)
+	build(plainProgram, "radishweir", false)
 	os.Setenv("PATH", dir+string(os.PathListSeparator)+os.Getenv("PATH"))
 	code := m.Run()
 	os.RemoveAll(dir)
--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -41,6 +41,9 @@
 	entries            map[string]*process
 	requestAddresses   map[string]string
 	readinessAddresses map[string]string
+	entryAddresses     map[string]string
+	// program is the entry daemon, extra holds more lines of its settings.
+	program, extra string
 
 	// ids is the number of job identifiers used so far.
 	ids atomic.Uint64
@@ -69,8 +72,15 @@
 // newSystem starts entries in two failure domains, with workers in both, and waits
 // until all entries are ready.
 func newSystem(t *testing.T, entries, workers int) *system {
+	t.Helper()
+	return newSystemOf(t, "radishweir", "", entries, workers)
+}
+
+// newSystemOf is newSystem with a build of the entry daemon and more lines of its settings.
+func newSystemOf(t *testing.T, program, extra string, entries, workers int) *system {
 	t.Helper()
 	s := &system{
+		program: program, extra: extra, entryAddresses: make(map[string]string),
 		fleet: &fleet{t: t, dir: t.TempDir(), operatorAddresses: make(map[string]string)}, host: hoster.New(), entries: make(map[string]*process),
 		requestAddresses: make(map[string]string), readinessAddresses: make(map[string]string), counts: make(map[int]int),
 	}
@@ -104,6 +114,7 @@
 	s.t.Helper()
 	s.names = append(s.names, name)
 	s.requestAddresses[name], s.readinessAddresses[name], s.operatorAddresses[name] = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	s.entryAddresses[name] = freeAddress(s.t)
 	settings := fmt.Sprintf(`name = %q
 failure_domain = %q
 caller_address = %q
@@ -113,8 +124,8 @@
 platform_address = %q
 balancer_wait = "300ms"
 drain_limit = "5s"
-`, name, domain, s.requestAddresses[name], s.readinessAddresses[name], freeAddress(s.t), s.operatorAddresses[name], s.host.Address())
-	if err := os.WriteFile(filepath.Join(s.dir, name+".toml"), []byte(settings), 0o600); err != nil {
+`, name, domain, s.requestAddresses[name], s.readinessAddresses[name], s.entryAddresses[name], s.operatorAddresses[name], s.host.Address())
+	if err := os.WriteFile(filepath.Join(s.dir, name+".toml"), []byte(settings+s.extra), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	s.startEntry(name)
@@ -123,7 +134,7 @@
 // startEntry starts the process of an entry.
 func (s *system) startEntry(name string) {
 	s.t.Helper()
-	s.entries[name] = s.start("radishweir", "leased", "--settings", filepath.Join(s.dir, name+".toml"))
+	s.entries[name] = s.start(s.program, "leased", "--settings", filepath.Join(s.dir, name+".toml"))
 }
 
 // waitReady waits until the readiness check of an entry succeeds.
