Coordinator: a late job starts now and then, so that run times are measured again

What callers saw: after clients had submitted jobs that declare 10 ms and run for 60 ms, an idle entry refused every job of 60 ms with 503 "no room in time", for as long as the test asked (20 s, the clients long gone).

Cause: the slowness of an upstream is the measured ratio of run times to declared ones. False declarations raise it on all upstreams; every job then seems to be late and is refused, and without runs nothing corrects the ratio.

Change: one job for each service and second starts although the measured run times say that it ends late, if by the declared ones it would not, and its caller still waits when it ends. A few such runs correct the ratio. Jobs that are late because they have waited are refused as before.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 
 	"radishweir.org/lib/delegator"
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/prober"
 	"radishweir.org/lib/throttler"
 	"radishweir.org/lib/wire"
 )
@@ -152,6 +153,8 @@
 	// more.
 	startRate float64
 	delegationState
+	// probes decides by service which jobs start although they are expected to be late.
+	probes prober.Prober[string]
 	// short is true while waiting jobs find no capacity, sizes holds the needs of recent
 	// tasks.
 	short bool
@@ -189,6 +192,7 @@
 	c.givenUp.init(c.Log, "run_given_up", runsPerSecond, c.Observer)
 	c.rejections.init(c.Log, "run_rejected", runsPerSecond, c.Observer)
 	c.wake = make(chan struct{}, 1)
+	c.probes.Interval = probeInterval
 	c.jobs, c.upstreams = make(map[string]*job), make(map[string]*upstreamState)
 	c.answered = make(map[string]answeredJob)
 	c.peers, c.kinds = make(map[string]*peerState), make(map[string]*kindStats)
--- a/lib/coordinator/pass.go
+++ b/lib/coordinator/pass.go
@@ -41,6 +41,9 @@
 	// above which a job is refused; it exceeds 1 because the expected wait is a
 	// rough estimate.
 	maxWaitRatio = 1.5
+	// probeInterval is the time between two jobs of a service that start although the
+	// measured run times say that they end late. A refused caller comes back no sooner.
+	probeInterval = time.Second
 	// packingShare is the share of a fleet's cores that tasks of uneven size fill.
 	packingShare = 0.7
 	// noLargeUpstream is the reason of the refusal of a job with tasks that fit no
@@ -195,6 +198,9 @@
 		if remaining < c.shortestTimeToEnd(j) && j.kept() {
 			remaining = lateKeptRemaining
 		}
+		if remaining < c.shortestTimeToEnd(j) && c.isProbe(j, remaining, now) {
+			remaining = j.Deadline.Sub(now)
+		}
 		if remaining < c.shortestTimeToEnd(j) {
 			c.refusedAt = now
 			out = append(out, c.close(j, c.refusal(j, "no room in time", c.backlog()))...)
@@ -237,6 +243,12 @@
 	return out
 }
 
+// isProbe reports whether a job that is late only by the measured run times starts all the
+// same, so that these are measured again. Its caller must still be there when it ends.
+func (c *Coordinator) isProbe(j *job, remaining time.Duration, now time.Time) bool {
+	return remaining >= j.expectedRemaining() && j.Deadline.Sub(now) >= c.shortestTimeToEnd(j) && c.probes.Allow(j.Service, now)
+}
+
 // throttled reports whether a job must not begin now, so that capacity is left for jobs
 // that have begun and for the most urgent ones.
 func (c *Coordinator) throttled(j *job, tasks int, now time.Time) bool {
