Callers' requests share a bounded memory and a bounded number of connections

What callers saw: an entry that ran out of memory and ended, as clients sent many requests of legal size and did not end them; with 600 descriptors, an entry that no new caller reached, as idle clients held them all.

Cause: nothing bounded what requests take together. Bodies had neither a common budget nor a time limit, a header of 16 KiB in short lines takes 0.3 MB once it is parsed, each socket held up to 90 kB that were not read, and connections were accepted until the descriptors were gone.

Change: package limiter keeps a ledger of connections. Large requests share 16 percent of the VM's memory; if one does not fit, the unfinished ones without progress for longest are refused. Small requests need no room. If there are too many connections, those of unfinished requests close first, then idle ones. Package drainer applies it, reads bodies into buffers that grow with what has arrived, bounds the time for a body (10 s) and the receive buffers of sockets. A refused request is answered 503 with Retry-After and never runs.

Why it works: what is taken counts before it is taken, and an ordinary request never competes with a large one.

--- a/lib/caller/codec_test.go
+++ b/lib/caller/codec_test.go
@@ -34,6 +34,8 @@
 
 func (*fakeBackend) RequestDropped(string) {}
 
+func (*fakeBackend) CallerLimited(string) {}
+
 func (*fakeBackend) Service(name string) *wire.ServiceConfiguration {
 	if name != "s" {
 		return nil
--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"radishweir.org/lib/limiter"
 )
 
 // state is what a connection carries.
@@ -44,6 +46,8 @@
 	lingerUntil time.Time
 	// closed is true once this side closes the connection.
 	closed bool
+	// refused is why the current request is refused, empty if it is not.
+	refused limiter.Reason
 }
 
 // newConn wraps an accepted connection.
@@ -71,7 +75,7 @@
 	err := c.raw.Read(take)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.currentState() == waiting {
 		if c.raw.Control(func(fd uintptr) { take(fd) }) == nil && n > 0 {
-			return n, nil
+			err, readErr = nil, nil
 		}
 	}
 	switch {
@@ -81,6 +85,8 @@
 		return 0, c.readError(os.NewSyscallError("read", readErr))
 	case n == 0:
 		return 0, io.EOF
+	case !c.server.receive(c, n):
+		return 0, c.readError(net.ErrClosed)
 	}
 	return n, nil
 }
--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -14,6 +14,13 @@
 //	s.Retire()           // from now on each answer closes its connection
 //	err := s.Drain(ctx)  // until no connection is open
 //
+// A Server with Limits bounds the memory and the connections of callers that it does not
+// trust; see package limiter. Its handler reads bodies by ReadBody and reserves the other
+// memory of a request by Reserve:
+//
+//	data, err := drainer.ReadBody(r, maxBodyBytes)
+//	err = drainer.Reserve(r.Context(), job.MemoryBytes())
+//
 // Drain may be called again after its context has ended. Shutdown of the embedded http.Server
 // is not to be used.
 package drainer
@@ -29,6 +36,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/limiter"
 )
 
 const (
@@ -50,17 +59,25 @@
 	// closed. Its state is unread if nothing of it was read, read if it had not arrived
 	// whole, and crossed if it came after the end of the idle connection.
 	RequestDropped(state string)
+	// CallerLimited counts a connection that this server closed, or a request that it
+	// refused, because of the limit of the given name.
+	CallerLimited(reason string)
 }
 
 // Server is an http.Server that can be drained. The exported fields, which include those
 // of http.Server except ConnState, are set before Serve.
 type Server struct {
 	http.Server
-	// Observer counts dropped requests.
+	// Limits returns the limits in force, which apply to the connections and requests of all
+	// callers together; nil means that there are none. ReadHeaderTimeout, ReadTimeout and
+	// IdleTimeout of http.Server are to be left at 0 if it is set. Limits must be fast.
+	Limits func() limiter.Limits
+	// Observer counts dropped requests and reached limits.
 	Observer Observer
 	// Log receives log events.
 	Log zerolog.Logger
 
+	account account
 	retired atomic.Bool
 	// acceptedLate counts the connections that the listener's queue held when it stopped.
 	acceptedLate atomic.Int64
@@ -88,10 +105,13 @@
 	}
 	handler, connContext := s.Handler, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok {
 			c.setState(serving)
+			s.begin(c, r)
+			defer s.finish(c)
 		}
-		rw := &responseWriter{ResponseWriter: w, server: s}
+		rw := &responseWriter{ResponseWriter: w, server: s, conn: c}
 		handler.ServeHTTP(rw, r)
 		if !rw.headerWritten && s.retired.Load() {
 			// net/http writes the header of an empty answer.
@@ -105,6 +125,14 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.ConnState = s.follow
+	if s.Limits != nil {
+		if err := limitBuffers(tl); err != nil {
+			return errors.Wrap(err, "limit the buffers of sockets")
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go s.sweep(ctx)
+	}
 	return s.Server.Serve(s.follower(tl))
 }
 
@@ -196,7 +224,9 @@
 	switch state {
 	case http.StateIdle:
 		c.setState(waiting)
+		s.becomeIdle(c)
 	case http.StateClosed, http.StateHijacked:
+		s.forget(c)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/lib/drainer/drainer_test.go
+++ b/lib/drainer/drainer_test.go
@@ -33,6 +33,9 @@
 	d.n[state]++
 }
 
+// CallerLimited implements drainer.Observer.
+func (d *drops) CallerLimited(string) {}
+
 const request = "POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
 
 // listen binds a port of the loopback interface.
--- a/lib/drainer/listener.go
+++ b/lib/drainer/listener.go
@@ -62,7 +62,10 @@
 	for {
 		tc, err := l.AcceptTCP()
 		if err == nil {
-			return l.server.add(tc), nil
+			if c := l.server.add(tc); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
@@ -138,9 +141,14 @@
 	return err == nil && n > 0
 }
 
-// add makes an accepted connection known to the server.
+// add makes an accepted connection known to the server. It returns nil if the limits do not
+// allow the connection, which it has closed then.
 func (s *Server) add(tc *net.TCPConn) *conn {
 	c := newConn(s, tc)
+	if !s.open(c) {
+		_ = tc.Close()
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recent.add(c.since)
--- a/lib/drainer/lock_test.go
+++ b/lib/drainer/lock_test.go
@@ -17,6 +17,8 @@
 
 func (silent) RequestDropped(string) {}
 
+func (silent) CallerLimited(string) {}
+
 // Guards against a connection that is closed under the lock which its reader needs: the close
 // waits for the reader.
 func TestCloseWhileBytesArriveDoesNotHang(t *testing.T) {
--- a/lib/drainer/response_writer.go
+++ b/lib/drainer/response_writer.go
@@ -7,6 +7,8 @@
 type responseWriter struct {
 	http.ResponseWriter
 	server *Server
+	// conn is the connection, nil if it is unknown.
+	conn *conn
 	// headerWritten is true once the header can no longer be changed.
 	headerWritten bool
 }
@@ -17,8 +19,8 @@
 		w.headerWritten = true
 		// http.MaxBytesReader, which closes the connection below a body that is too large,
 		// does not see through the wrapper. Without it net/http reads the rest of the body
-		// before it answers.
-		if w.server.retired.Load() || status == http.StatusRequestEntityTooLarge {
+		// before it answers. The same holds for the body of a refused request.
+		if w.server.retired.Load() || status == http.StatusRequestEntityTooLarge || w.conn != nil && w.conn.refusal() != nil {
 			w.Header().Set("Connection", "close")
 		}
 	}
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -46,6 +46,7 @@
 	delegations        *prometheus.CounterVec
 	suppressedLogLines *prometheus.CounterVec
 	droppedRequests    *prometheus.CounterVec
+	limitedCallers     *prometheus.CounterVec
 	queueKinds         labelLimiter
 }
 
@@ -83,6 +84,7 @@
 		}),
 		delegations:        counter("delegations_total", "Jobs handed to other entries, by step.", "result"),
 		droppedRequests:    counter("dropped_requests_total", "Requests that arrived and got no answer, by state of their connection.", "state"),
+		limitedCallers:     counter("limited_callers_total", "Connections that were closed and requests that were refused because of a limit, by limit.", "reason"),
 		suppressedLogLines: counter("log_lines_left_out_total", "Lines about jobs left out to bound the volume of logs.", "state"),
 		refusedHandshakes: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "entry_handshakes_refused_total", Help: "Connections that failed the handshake.",
@@ -137,6 +139,10 @@
 // RequestDropped counts one request that arrived and got no answer.
 func (r *Recorder) RequestDropped(state string) { r.droppedRequests.WithLabelValues(state).Inc() }
 
+// CallerLimited counts a connection that was closed, or a request that was refused, because of
+// a limit.
+func (r *Recorder) CallerLimited(reason string) { r.limitedCallers.WithLabelValues(reason).Inc() }
+
 // Order counts one order to a leased upstream.
 func (r *Recorder) Order(kind, result string) {
 	r.orders.WithLabelValues(kind, result).Inc()
--- /dev/null
+++ b/proof/crowd_forms_test.go
@@ -0,0 +1,160 @@
+package proof
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// limitedProgram is plainProgram with the number of descriptors lowered to fewDescriptors,
+// which a crowd exceeds.
+const (
+	limitedProgram = "radishweir-limited"
+	fewDescriptors = 600
+)
+
+// writeLimitedProgram writes limitedProgram.
+func writeLimitedProgram(t *testing.T) {
+	t.Helper()
+	text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %q \"$@\"\n", fewDescriptors, filepath.Join(programs, plainProgram))
+	if err := os.WriteFile(filepath.Join(programs, limitedProgram), []byte(text), 0o700); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// sendText sends the text that f returns for each client.
+func sendText(f func(n int, whole bool) string) client {
+	return func(c net.Conn, n int, whole bool) error {
+		_, err := io.WriteString(c, f(n, whole))
+		return err
+	}
+}
+
+// shortHeaders returns size bytes of header lines that are as short as distinct ones can be.
+func shortHeaders(size int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%c%c%c:\r\n", letters[i%36], letters[i/36%36], letters[i/36/36%36])
+	}
+	return b.String()
+}
+
+// submission returns a whole request with a job as its body.
+func submission(n int, job string) string {
+	return head(n, fmt.Sprintf("X-Request-Deadline: 30000\r\nContent-Length: %d", len(job))) + job
+}
+
+// longJob is a job that takes 20 s by its own account.
+const longJob = `{"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":10,"estimate_ms":20000}]}`
+
+// Guards against headers whose lines take many times the memory of their text.
+func TestCrowdOfShortHeaderLines(t *testing.T) {
+	s := newSmallSystem(t)
+	lines := shortHeaders(15 << 10)
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, whole bool) string {
+		if whole {
+			return head(n, lines+"Content-Length: 0")
+		}
+		return "POST /check/ HTTP/1.1\r\nHost: claims.example\r\n" + lines
+	}))
+}
+
+// Guards against callers that take all descriptors by connections without a request.
+func TestCrowdOfIdleConnections(t *testing.T) {
+	writeLimitedProgram(t)
+	s := newSmallSystemOf(t, limitedProgram)
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, whole bool) string {
+		if whole {
+			return ""
+		}
+		return fmt.Sprintf("GET /check/%016x HTTP/1.1\r\nHost: claims.example\r\n\r\n", 1<<32+n)
+	}))
+}
+
+// holdTasks makes the tasks of a crowd run for longer than the crowd stays.
+func (s *system) holdTasks() {
+	s.host.Fleet.SetRunTime(func(task string) time.Duration {
+		if strings.HasPrefix(task, "00000001") {
+			return time.Hour
+		}
+		return 60 * time.Millisecond
+	})
+}
+
+// Guards against callers that go on to send while their first request is served.
+func TestCrowdThatSendsAhead(t *testing.T) {
+	s := newSmallSystem(t)
+	s.holdTasks()
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, func(c net.Conn, n int, whole bool) error {
+		text := submission(n, longJob)
+		if !whole {
+			text += strings.Repeat("x", bodyBytes)
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(3 * time.Second))
+		// What does not fit the buffers stays with the client.
+		_, _ = io.WriteString(c, text)
+		return nil
+	})
+}
+
+// Guards against the crowd of large bodies while the entry has no configuration.
+func TestCrowdWithoutConfiguration(t *testing.T) {
+	s := newSmallSystem(t)
+	s.host.Store.SetDown(true)
+	p := s.entries["entry-1"]
+	_ = p.Process.Kill()
+	<-p.done
+	s.startEntry("entry-1")
+	s.await("the entry", func() bool {
+		c, err := net.Dial("tcp", s.requestAddresses["entry-1"])
+		if err != nil {
+			return false
+		}
+		return c.Close() == nil
+	})
+	p = s.entries["entry-1"]
+	end := watchUsage(p, s.requestAddresses["entry-1"])
+	c := startCrowd(t, s.requestAddresses["entry-1"], crowdSize, sendSized(bodyBytes))
+	time.Sleep(crowdTime)
+	checkAlive(t, p)
+	s.host.Store.SetDown(false)
+	s.requireAnswer("while the crowd stayed,")
+	c.stop()
+	checkUsage(t, end())
+	checkAlive(t, p)
+	s.requireAnswer("after the crowd had left,")
+}
+
+// Guards against the crowd of large bodies while the entry drains: it ends, and within its
+// bounds.
+func TestCrowdWhileDraining(t *testing.T) {
+	s := newSmallSystem(t)
+	p := s.entries["entry-1"]
+	end := watchUsage(p, s.requestAddresses["entry-1"])
+	c := startCrowd(t, s.requestAddresses["entry-1"], crowdSize/2, sendSized(bodyBytes))
+	_ = p.Process.Signal(syscall.SIGTERM)
+	late := startCrowd(t, s.requestAddresses["entry-1"], crowdSize/2, sendChunked(64<<10))
+	select {
+	case err := <-p.done:
+		if err != nil {
+			t.Errorf("the process ended with %v", err)
+		}
+		p.done <- err
+	case <-time.After(30 * time.Second):
+		t.Error("the process did not end")
+	}
+	c.stop()
+	late.stop()
+	checkUsage(t, end())
+	s.startEntry("entry-1")
+	s.waitReady("entry-1")
+	s.requireAnswer("after the restart,")
+	s.checkInvariants()
+}
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -218,7 +218,13 @@
 // newSmallSystem starts one entry on a VM with the memory of the smallest one.
 func newSmallSystem(t *testing.T) *system {
 	t.Helper()
-	s := newSystemOf(t, plainProgram, fmt.Sprintf("memory_mb = %d\n", memoryMB), 1, 8)
+	return newSmallSystemOf(t, plainProgram)
+}
+
+// newSmallSystemOf is newSmallSystem with another build of the entry daemon.
+func newSmallSystemOf(t *testing.T, program string) *system {
+	t.Helper()
+	s := newSystemOf(t, program, fmt.Sprintf("memory_mb = %d\n", memoryMB), 1, 8)
 	c := configuration(2, "/check/")
 	c.Limits = &schema.Limits{MaxBodyBytes: bodyBytes, MaxHeaderBytes: 16 << 10, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}
 	if err := s.host.Configure(c); err != nil {
@@ -231,14 +237,18 @@
 	return s
 }
 
-// requireAnswer checks that an ordinary caller gets an answer. A caller that is refused
-// comes back.
+// ordinaryJob is the job of an ordinary caller.
+const ordinaryJob = `{"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"mem_mb":1,"estimate_ms":60}]}`
+
+// requireAnswer checks that an ordinary caller gets an answer on a new connection. A caller
+// that is refused comes back.
 func (s *system) requireAnswer(when string) {
 	s.t.Helper()
 	var status int
 	var body string
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(returnInterval) {
-		status, body = s.submitJob("entry-1", "/check/", fmt.Sprintf("%016x", s.ids.Add(1)), 1)
+		http.DefaultClient.CloseIdleConnections()
+		status, body = s.submitBody("entry-1", "/check/", fmt.Sprintf("%016x", s.ids.Add(1)), []byte(ordinaryJob))
 		if status == http.StatusOK {
 			return
 		}
--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -161,6 +161,11 @@
 	if err != nil {
 		s.t.Error(err)
 	}
+	return s.submitBody(name, path, id, data)
+}
+
+// submitBody submits a job that is encoded already; see submitJob.
+func (s *system) submitBody(name, path, id string, data []byte) (status int, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.requestAddresses[name]+path+id, bytes.NewReader(data))
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -53,18 +53,12 @@
 	// longestBackoff is the longest mean wait between reconnects to the store. It
 	// is short so that the entry soon notices that the store is back.
 	longestBackoff = 400 * time.Millisecond
-	// headerTimeout bounds the time in which a client must send its headers.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is the time after which an idle client connection is closed.
-	idleTimeout = 2 * time.Minute
 	// callerProbeInterval is the interval of keep-alive probes on silent connections of callers.
 	// A caller whose reset was lost answers one with a reset, before it submits its job again.
 	// callerProbes is the number of unanswered probes after which a connection is closed; a
 	// caller on a path that is cut may still wait for its answer.
 	callerProbeInterval = time.Second
 	callerProbes        = 30
-	// maxHeaderBytes bounds the size of a request's headers.
-	maxHeaderBytes = 16 << 10
 	// memoryLimitPercent is the memory limit of the Go runtime, in percent of the
 	// VM's memory. Near the limit the garbage collector runs more often. The rest
 	// is left to kernel buffers.
@@ -220,10 +214,10 @@
 func (e *Entry) buildServers(rec *recorder.Recorder) {
 	e.callerServer = &drainer.Server{
 		Server: http.Server{
-			Addr: e.CallerAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
+			Addr: e.CallerAddress, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
 			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.newCallerKeeper(), Pending: e.Pending, Log: e.Log},
 		},
-		Observer: rec, Log: e.Log,
+		Limits: e.callerLimits, Observer: rec, Log: e.Log,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/radishweir/internal/composer/gauges.go
+++ b/radishweir/internal/composer/gauges.go
@@ -39,6 +39,14 @@
 		_, waiting := e.coordinator.Counts()
 		return float64(waiting)
 	})
+	gauge("caller_connections", "Open connections of callers.", func() float64 {
+		n, _ := e.callerServer.Usage()
+		return float64(n)
+	})
+	gauge("caller_memory_bytes", "Memory of callers' requests that counts towards its limit.", func() float64 {
+		_, n := e.callerServer.Usage()
+		return float64(n)
+	})
 	gauge("upstreams_owned", "Upstreams that this entry owns.", func() float64 { return float64(len(e.runner.States())) })
 	gauge("upstreams_usable", "Owned upstreams that take new runs.", func() float64 {
 		n := 0
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -33,6 +33,9 @@
 	OverloadControl   bool   `toml:"overload_control"`
 	BalancerWait      string `toml:"balancer_wait"`
 	DrainLimit        string `toml:"drain_limit"`
+	BodyTimeout       string `toml:"body_timeout"`
+	MaxConnections    int    `toml:"max_connections"`
+	MaxDescriptors    int    `toml:"max_descriptors"`
 }
 
 // fields is the table of settings with their defaults and validators.
@@ -58,6 +61,9 @@
 		{Key: "overload_control", Value: &s.OverloadControl, Default: false},
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2500ms", Check: loader.DurationRange(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "5500ms", Check: loader.DurationRange(time.Second, time.Hour)},
+		{Key: "body_timeout", Value: &s.BodyTimeout, Default: "10s", Check: loader.DurationRange(time.Second, time.Hour)},
+		{Key: "max_connections", Value: &s.MaxConnections, Default: 0, Check: loader.IntRange(0, 1<<20)},
+		{Key: "max_descriptors", Value: &s.MaxDescriptors, Default: 0, Check: loader.IntRange(0, 1<<30)},
 	}
 }
 
@@ -115,7 +121,8 @@
 // entry runs.
 func (s *Settings) withoutReloadable() Settings {
 	out := *s
-	out.BalancerWait, out.DrainLimit, out.LogLevel = "", "", ""
+	out.BalancerWait, out.DrainLimit, out.BodyTimeout, out.LogLevel = "", "", "", ""
+	out.MaxConnections, out.MaxDescriptors = 0, 0
 	return out
 }
 
