Limiter: one unfinished request makes room for others, whatever its size

What callers would see: an unfinished request that holds more than a quarter of the memory keeps other large requests out until its time is over, as requests that are refused may use no more than that quarter until they have ended.

Evidence: TestUnfinishedBodyIsRefusedForAnother on a server with room for two bodies: the whole request was answered 503, the unfinished one not at all. Now 200 and 503. With the default memory and bodies of 256 KiB it did not occur.

Change: the bound does not apply to a request that is refused alone. Tests of what callers of package drainer see under limits, in calm too, come with it.

--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -63,7 +63,7 @@
 	// for others. Above it, new connections are refused.
 	leavingShare = 4
 	// releaseShare is the share of the memory that refused requests may still use. Above it,
-	// no further request is refused to make room.
+	// no further request is refused to make room, unless it is the only one.
 	releaseShare = 4
 )
 
@@ -369,7 +369,7 @@
 	sortByRank(list)
 	var out []Victim[K]
 	for _, c := range list {
-		if l.fits(u, more) || l.releasing+c.use.shared() > l.Memory/releaseShare {
+		if l.fits(u, more) || l.releasing > 0 && l.releasing+c.use.shared() > l.Memory/releaseShare {
 			break
 		}
 		out = l.end(out, c.key, c.use, NoMemory)
