Drainer: connections close whose callers do not receive their answers

Cause: a write had no time limit, and the kernel enlarges a send buffer up to 4 MB while its peer takes nothing.

Change: a caller has 10 s to receive each 64 KiB of an answer, and the send buffers of callers' sockets have a fixed size. On the slowest link of the deployments (19 Mbit/s) 64 KiB take 0.03 s.

--- a/lib/drainer/conn.go
+++ b/lib/drainer/conn.go
@@ -174,10 +174,22 @@
 }
 
 // Write implements net.Conn. A request that net/http answers without the handler is served
-// from its answer on.
+// from its answer on. The write fails if the caller does not receive the answer.
 func (c *conn) Write(b []byte) (int, error) {
 	c.noteAnswer()
-	return c.TCPConn.Write(b)
+	n := 0
+	for {
+		// It fails only if the connection is closed, which the write reports.
+		_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
+		k, err := c.TCPConn.Write(b[n : n+min(len(b)-n, answerPiece)])
+		n += k
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.server.noteUnreadAnswer()
+		}
+		if err != nil || n == len(b) {
+			return n, err
+		}
+	}
 }
 
 // noteAnswer notes that an answer to the current request is written.
--- a/lib/drainer/limits.go
+++ b/lib/drainer/limits.go
@@ -21,8 +21,12 @@
 	// unreadGrace is the time that a connection gets on which bytes have arrived in time but
 	// were not read yet, as this server was paused or short of CPU time.
 	unreadGrace = time.Second
-	// socketBuffer is the size in bytes of the receive buffer of a connection's socket. It
-	// bounds what waits there unread while the connection's request is served.
+	// answerTimeout is how long a caller may take to receive a piece of an answer, and
+	// answerPiece the size of such a piece in bytes.
+	answerTimeout = 10 * time.Second
+	answerPiece   = 64 << 10
+	// socketBuffer is the size in bytes of each buffer of a connection's socket. It bounds
+	// what waits there unread while the connection's request is served.
 	socketBuffer = 16 << 10
 	// firstBuffer is the size in bytes of the buffer that a body is first read into.
 	firstBuffer = 2 << 10
@@ -167,6 +171,17 @@
 	return out
 }
 
+// answerTimedOut is the reason of a connection that is closed as its caller does not receive
+// the answer.
+const answerTimedOut limiter.Reason = "answer_timeout"
+
+// noteUnreadAnswer counts an answer that its caller did not receive.
+func (s *Server) noteUnreadAnswer() {
+	s.account.mu.Lock()
+	defer s.account.mu.Unlock()
+	s.count(answerTimedOut)
+}
+
 // logLimits writes an event for each limit that was reached since the last call.
 func (s *Server) logLimits() {
 	s.account.mu.Lock()
@@ -335,7 +350,7 @@
 	}
 }
 
-// limitBuffers sets the size of the receive buffers of the sockets that a listener accepts.
+// limitBuffers sets the sizes of the buffers of the sockets that a listener accepts.
 func limitBuffers(l *net.TCPListener) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -343,7 +358,10 @@
 	}
 	var optErr error
 	err = raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer)
+		optErr = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer),
+		)
 	})
 	return errors.Join(err, optErr)
 }
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -78,6 +78,28 @@
 	}))
 }
 
+// Guards against callers that send request after request and read no answer.
+func TestCrowdThatReadsNoAnswers(t *testing.T) {
+	s := newSmallSystem(t)
+	request := "GET /nothing/1 HTTP/1.1\r\nHost: claims.example\r\n\r\n"
+	requests := strings.Repeat(request, (1<<20)/len(request))
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, func(c net.Conn, _ int, whole bool) error {
+		if whole {
+			_, err := io.WriteString(c, request)
+			return err
+		}
+		// The write ends when the entry stops to read. The client stays, but reads nothing.
+		_ = c.SetWriteDeadline(time.Now().Add(3 * time.Second))
+		for {
+			if _, err := io.WriteString(c, requests); err != nil {
+				break
+			}
+		}
+		time.Sleep(crowdTime)
+		return io.ErrShortWrite
+	})
+}
+
 // holdTasks makes the tasks of a crowd run for longer than the crowd stays.
 func (s *system) holdTasks() {
 	s.host.Fleet.SetRunTime(func(task string) time.Duration {
