--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -66,6 +67,22 @@
 	}))
 }
 
+// emptySteps returns the body of a job whose steps are empty, of at most the given size.
+func emptySteps(size int) string {
+	return `{"spec":"x","best_effort":true,"steps":[` + strings.Repeat("{},", (size-100)/3) + `{}]}`
+}
+
+// Guards against bodies whose values take many times the memory of their text.
+func TestCrowdOfEmptySteps(t *testing.T) {
+	for _, size := range []int{bodyBytes, 15 << 10} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			s := newSmallSystem(t)
+			body := emptySteps(size)
+			s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, _ bool) string { return submission(n, body) }))
+		})
+	}
+}
+
 // Guards against callers that take all descriptors by connections without a request.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	writeLimitedProgram(t)
