Platform: the tasks of a queued job count as memory of its request

What callers saw: 900 jobs of 10,000 tasks, each submitted by 300 bytes, brought an entry to 1,940 and 2,516 MB while they waited (TestCrowdOfJobsWithManyTasks on, want at most 144).

Cause: an entry holds the state of each task of an open job, and only the number of tasks of one job was bounded.

--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -96,6 +96,22 @@
 	return n
 }
 
+const (
+	// taskMemory and stepMemory are the memory in bytes that a task and a step of an open
+	// job take.
+	taskMemory = 512
+	stepMemory = 512
+)
+
+// MemoryBytes returns the memory in bytes that the job takes while it is open.
+func (j *Job) MemoryBytes() int64 {
+	n := len(j.Spec) + j.Tasks()*taskMemory
+	for i := range j.Steps {
+		n += stepMemory + 8*len(j.Steps[i].After)
+	}
+	return int64(n)
+}
+
 // CriticalPath returns the expected run time of the longest chain of dependent
 // steps.
 func (j *Job) CriticalPath() time.Duration {
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -83,6 +83,30 @@
 	}
 }
 
+// waitingJob returns a job of many tasks that wait for the first one.
+func waitingJob(more string) string {
+	return fmt.Sprintf(`{"spec":"x",%s"steps":[{"count":1,"cpu":10,"estimate_ms":20000},{"count":9999,"cpu":10,"estimate_ms":20000,"after":[0]}]}`, more)
+}
+
+// holdTasks makes the tasks of a crowd run for longer than the crowd stays.
+func (s *system) holdTasks() {
+	s.host.Fleet.SetRunTime(func(task string) time.Duration {
+		if strings.HasPrefix(task, "00000001") {
+			return time.Hour
+		}
+		return 60 * time.Millisecond
+	})
+}
+
+// Guards against small bodies whose jobs have many tasks.
+func TestCrowdOfJobsWithManyTasks(t *testing.T) {
+	s := newSmallSystem(t)
+	s.holdTasks()
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, _ bool) string {
+		return submission(n, waitingJob(`"best_effort":true,`))
+	}))
+}
+
 // Guards against callers that take all descriptors by connections without a request.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	writeLimitedProgram(t)
@@ -117,16 +141,6 @@
 	})
 }
 
-// holdTasks makes the tasks of a crowd run for longer than the crowd stays.
-func (s *system) holdTasks() {
-	s.host.Fleet.SetRunTime(func(task string) time.Duration {
-		if strings.HasPrefix(task, "00000001") {
-			return time.Hour
-		}
-		return 60 * time.Millisecond
-	})
-}
-
 // Guards against callers that go on to send while their first request is served.
 func TestCrowdThatSendsAhead(t *testing.T) {
 	s := newSmallSystem(t)
