Coordinator: kept jobs are accepted only while there is memory for them

What callers saw: 900 kept jobs of 10,000 tasks, each submitted by 300 bytes, brought an entry to 937 and 1,485 MB, also after their callers had left, and other jobs were refused while the entry went through them (TestCrowdOfKeptJobsWithManyTasks on, want at most 144).

Cause: a kept job is answered once it is stored, and stays; only the expected wait of the queue bounded how many were accepted, and tasks that wait for others do not count there.

Change: kept jobs share 16 percent of the VM's memory, and a job gets at most half of what is left. Others are refused with 503 and Retry-After, through the check that asks the store for an earlier submission, so the refusal is true. Jobs that an entry takes over from a lost one count, but are never refused.

Why it holds for submissions at the same time: until a job is counted, its request holds the reservation of its memory.

--- a/lib/coordinator/coordinator.go
+++ b/lib/coordinator/coordinator.go
@@ -102,6 +102,9 @@
 	EncodeDelegation func(j Job, number uint64, now time.Time) (*wire.DelegatedJob, error)
 	// Keeper stores the progress of kept jobs; nil if there are none.
 	Keeper Keeper
+	// MaxKeptMemory is the memory in bytes that open kept jobs may take before no further
+	// ones are accepted; 0 for no limit.
+	MaxKeptMemory int64
 	// Log receives events.
 	Log zerolog.Logger
 
@@ -115,6 +118,8 @@
 	jobs map[string]*job
 	// openKept is the number of kept jobs in jobs.
 	openKept int
+	// keptMemory is the memory in bytes of the kept jobs in jobs.
+	keptMemory int64
 	// holder is the leased identity under which this entry may place tasks of kept
 	// jobs; empty if it may place none.
 	holder  string
@@ -340,6 +345,7 @@
 	delete(c.jobs, j.ID)
 	if j.kept() {
 		c.openKept--
+		c.keptMemory -= j.MemoryBytes()
 	} else {
 		c.rememberAnswer(j, a)
 	}
--- a/lib/coordinator/kept.go
+++ b/lib/coordinator/kept.go
@@ -64,6 +64,7 @@
 	j := newJob(in, in.RunBase)
 	c.jobs[j.ID] = j
 	c.openKept++
+	c.keptMemory += j.MemoryBytes()
 	var out []message
 	switch {
 	case j.done == len(j.tasks):
@@ -180,8 +181,8 @@
 }
 
 // Refuses reports whether a job must not be accepted as a kept one, and the answer
-// to its caller: the tasks of one of its steps are too large for any upstream, or
-// the waiting jobs take too long to start.
+// to its caller: the tasks of one of its steps are too large for any upstream, there
+// is no memory for it, or the waiting jobs take too long to start.
 func (c *Coordinator) Refuses(in Job) (Answer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,6 +191,11 @@
 	if !j.fitsUpstreams() {
 		return c.refuse(j, noLargeUpstream), true
 	}
+	if !c.hasKeptMemory(in.MemoryBytes()) {
+		a := Answer{State: Refused, Reason: "the entry has no memory for the job", RetryAfter: retryAfter(c.backlog())}
+		c.recordAnswer(j, a)
+		return a, true
+	}
 	if wait := c.backlog(); wait > keptWaitFactor*in.Due.Sub(in.Arrived) {
 		a := Answer{State: Refused, Reason: "the queue is too long", RetryAfter: retryAfter(wait)}
 		c.recordAnswer(j, a)
@@ -198,6 +204,13 @@
 	return Answer{}, false
 }
 
+// hasKeptMemory reports whether there is memory for one more kept job of n bytes. A job gets
+// at most half of what is left, so that there is room for smaller ones; the caller holds the
+// lock.
+func (c *Coordinator) hasKeptMemory(n int64) bool {
+	return c.MaxKeptMemory == 0 || c.openKept == 0 || n <= (c.MaxKeptMemory-c.keptMemory)/2
+}
+
 // suspended reports whether no tasks of a job may be placed now, because another
 // entry may have taken the job over.
 func (c *Coordinator) suspended(j *job) bool { return j.kept() && j.Holder != c.holder }
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -107,6 +107,15 @@
 	}))
 }
 
+// Guards against the same with kept jobs, which stay when their callers have left.
+func TestCrowdOfKeptJobsWithManyTasks(t *testing.T) {
+	s := newSmallSystem(t)
+	s.holdTasks()
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, _ bool) string {
+		return submission(n, waitingJob(""))
+	}))
+}
+
 // Guards against callers that take all descriptors by connections without a request.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	writeLimitedProgram(t)
--- a/radishweir/internal/composer/limits.go
+++ b/radishweir/internal/composer/limits.go
@@ -12,7 +12,7 @@
 
 const (
 	// requestMemoryPercent is the share of the VM's memory for callers' requests beyond the
-	// allowances of their connections.
+	// allowances of their connections, and again for kept jobs.
 	requestMemoryPercent = 16
 	// connectionMemoryPercent is the share of the VM's memory for callers' connections, and
 	// connectionBytes the memory of one in bytes, its buffers in the kernel included.
