Entry: the limits of the configuration are in force, not only that of bodies

What callers saw: of the configuration's limits only max_body_bytes was obeyed. An idle connection stayed for 2 minutes, whatever idle_timeout_ms said, and max_header_bytes and header_timeout_ms had no effect beside the built-in 16 KiB and 3 s (TestLimitsOfTheConfiguration on: header and idle).

Cause: they were constants of the HTTP server, which cannot change while it serves, and were not decoded from the configuration.

Change: the ledger of package limiter takes them from the configuration in force. Without a configuration the former values apply.

--- a/lib/router/router.go
+++ b/lib/router/router.go
@@ -56,6 +56,11 @@
 	Services []Service
 	// MaxBodyBytes limits the body of a request; 0 for no limit.
 	MaxBodyBytes int64
+	// MaxHeaderBytes limits the header of a request, HeaderTimeout the time in which it has
+	// to arrive, and IdleTimeout the time between two requests; 0 for the entry's default.
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 }
 
 // Router holds the table in force. Exported fields are set before Apply.
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"radishweir.org/platform/schema"
 )
 
 // limitedProgram is plainProgram with the number of descriptors lowered to fewDescriptors,
@@ -220,3 +222,40 @@
 	s.requireAnswer("after the restart,")
 	s.checkInvariants()
 }
+
+// The limits of the configuration are in force, also after a change.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	s := newSmallSystem(t)
+	c := configuration(3, "/check/")
+	c.Limits = &schema.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 2000, HeaderTimeoutMs: 1000, IdleTimeoutMs: 1000}
+	if err := s.host.Configure(c); err != nil {
+		t.Fatal(err)
+	}
+	s.await("the configuration", func() bool {
+		st := s.statuses()["entry-1"].Leased
+		return st != nil && st.ConfigurationVersion == 3
+	})
+	time.Sleep(2 * time.Second)
+	for name, c := range map[string]struct{ text, want string }{
+		"body":   {submission(1, largeBody(1001)), "HTTP/1.1 413 "},
+		"header": {head(2, shortHeaders(14<<10)), "HTTP/1.1 431 "},
+		"start":  {"POST /check/ HT", ""},
+		"idle":   {"GET /nothing/ HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 404 "},
+	} {
+		conn, err := net.Dial("tcp", s.requestAddresses["entry-1"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, c.text)
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		got, err := io.ReadAll(conn)
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%s: the connection was not closed", name)
+		}
+		if !strings.HasPrefix(string(got), c.want) {
+			t.Errorf("%s: got %q, want %q", name, got, c.want)
+		}
+		_ = conn.Close()
+	}
+	s.requireAnswer("with other limits,")
+}
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -215,7 +215,7 @@
 func (e *Entry) buildServers(rec *recorder.Recorder) {
 	e.callerServer = &drainer.Server{
 		Server: http.Server{
-			Addr: e.CallerAddress, MaxHeaderBytes: maxHeaderBytes, ConnContext: adapter.WithConnection,
+			Addr: e.CallerAddress, MaxHeaderBytes: headerBytesBound, ConnContext: adapter.WithConnection,
 			Handler: &adapter.JobHandler{Router: e.router, Jobs: e.coordinator, Keeper: e.newCallerKeeper(), Pending: e.Pending, Log: e.Log},
 		},
 		Limits: e.callerLimits, Observer: rec, Log: e.Log,
--- a/radishweir/internal/composer/limits.go
+++ b/radishweir/internal/composer/limits.go
@@ -23,20 +23,34 @@
 	// entries, upstreams and the store.
 	fileDescriptors      = 200
 	ownDescriptorPercent = 40
-	// headerTimeout, idleTimeout and maxHeaderBytes bound the time in which a client must send its headers, the time after which an idle
+	// headerTimeout, idleTimeout and maxHeaderBytes apply unless the configuration sets
+	// others: the time in which a client must send its headers, the time after which an idle
 	// client connection is closed, and the size of a request's headers in bytes.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// headerBytesBound is the largest size of headers that a configuration can allow.
+	headerBytesBound = 64 << 10
 )
 
-// callerLimits returns the limits of callers.
+// callerLimits returns the limits of callers: those of the configuration in force, and those
+// that follow from the size of this VM.
 func (e *Entry) callerLimits() limiter.Limits {
 	s := e.current.Load()
 	l := limiter.Limits{
 		Connections: s.callerConnections(), Memory: s.requestMemory(), HeaderBytes: maxHeaderBytes,
 		HeaderTimeout: headerTimeout, BodyTimeout: loader.Duration(s.BodyTimeout), IdleTimeout: idleTimeout,
 	}
+	t, _ := e.router.Table()
+	if t.MaxHeaderBytes > 0 {
+		l.HeaderBytes = min(t.MaxHeaderBytes, headerBytesBound)
+	}
+	if t.HeaderTimeout > 0 {
+		l.HeaderTimeout = t.HeaderTimeout
+	}
+	if t.IdleTimeout > 0 {
+		l.IdleTimeout = t.IdleTimeout
+	}
 	return l
 }
 
