Entry: the ports of load balancers and operators have limits too

What callers saw: nothing on the port of callers, but 900 connections with a header of short lines to the readiness port brought an entry to 255 and 260 MB, to the operators' port to 253 and 261 MB. With 600 descriptors, idle connections to either held them all, and ordinary callers got no answer for as long as they stayed (TestCrowdAtOtherPorts on, all four cases).

Cause: both were plain HTTP servers without a bound on connections or memory, the operators' one without an idle timeout.

Change: both are servers of package drainer with limits of their own, which leave little to a crowd: 64 connections and 1 MiB. The test of a crowd now also checks that the balancer's readiness check is answered meanwhile.

--- a/lib/operator/operator.go
+++ b/lib/operator/operator.go
@@ -24,10 +24,18 @@
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"radishweir.org/lib/drainer"
+	"radishweir.org/lib/limiter"
 )
 
-// headerTimeout limits the time in which a client must send its headers.
-const headerTimeout = 5 * time.Second
+// limits bounds what clients may take together, as the port may be reached by others than
+// operators.
+var limits = limiter.Limits{
+	Connections: 64, Memory: 1 << 20, HeaderBytes: 16 << 10,
+	HeaderTimeout: 5 * time.Second, BodyTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+}
 
 // Server serves operators. Exported fields are set before Run.
 type Server struct {
@@ -39,6 +47,10 @@
 	Ready func() bool
 	// Status returns the content of the status page.
 	Status func() Status
+	// Observer counts reached limits.
+	Observer drainer.Observer
+	// Log receives log events.
+	Log zerolog.Logger
 
 	listener net.Listener
 }
@@ -160,7 +172,10 @@
 
 // Run serves requests until ctx ends. Listen must have been called.
 func (s *Server) Run(ctx context.Context) error {
-	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	srv := &drainer.Server{
+		Server: http.Server{Handler: s.Handler(), MaxHeaderBytes: limits.HeaderBytes},
+		Limits: func() limiter.Limits { return limits }, Observer: s.Observer, Log: s.Log,
+	}
 	defer context.AfterFunc(ctx, func() { _ = srv.Close() })()
 	if err := srv.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve operators")
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -223,6 +223,32 @@
 	s.checkInvariants()
 }
 
+// Guards against strangers at the ports of the load balancer and of operators.
+func TestCrowdAtOtherPorts(t *testing.T) {
+	writeLimitedProgram(t)
+	lines := shortHeaders(15 << 10)
+	for _, c := range []struct {
+		name, path string
+		addresses  func(s *system) map[string]string
+	}{
+		{"readiness", "/api/readiness", func(s *system) map[string]string { return s.readinessAddresses }},
+		{"operators", "/status", func(s *system) map[string]string { return s.operatorAddresses }},
+	} {
+		t.Run(c.name+" headers", func(t *testing.T) {
+			s := newSmallSystem(t)
+			s.withstand(c.addresses(s)["entry-1"], crowdSize, sendText(func(int, bool) string {
+				return "GET " + c.path + " HTTP/1.1\r\nHost: h\r\n" + lines
+			}))
+		})
+		t.Run(c.name+" idle", func(t *testing.T) {
+			s := newSmallSystemOf(t, limitedProgram)
+			s.withstand(c.addresses(s)["entry-1"], crowdSize, sendText(func(int, bool) string {
+				return "GET " + c.path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+			}))
+		})
+	}
+}
+
 // The limits of the configuration are in force, also after a change.
 func TestLimitsOfTheConfiguration(t *testing.T) {
 	s := newSmallSystem(t)
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -265,6 +265,7 @@
 	end := watchUsage(p, s.requestAddresses["entry-1"], s.readinessAddresses["entry-1"], s.operatorAddresses["entry-1"], s.entryAddresses["entry-1"])
 	c := startCrowd(t, address, n, client)
 	s.requireAnswer("while the crowd was there,")
+	s.waitReady("entry-1")
 	time.Sleep(crowdTime)
 	s.requireAnswer("while the crowd stayed,")
 	c.stop()
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -160,6 +160,7 @@
 	}
 	e.operatorServer = &operator.Server{
 		Address: e.OperatorAddress, Gatherer: e.registry, Ready: e.ready, Status: e.status,
+		Observer: e.recorder, Log: e.Log,
 	}
 }
 
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -96,7 +96,7 @@
 	relayer         *relayer.Relayer
 	watchers        []*watcher.Watcher
 	callerServer    *drainer.Server
-	readinessServer *http.Server
+	readinessServer *drainer.Server
 	operatorServer  *operator.Server
 
 	current  atomic.Pointer[Settings]
@@ -226,8 +226,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	e.readinessServer = &http.Server{Addr: e.ReadinessAddress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: mux}
-	e.operatorServer = &operator.Server{Address: e.OperatorAddress, Gatherer: e.registry, Ready: e.ready, Status: e.status}
+	e.readinessServer = &drainer.Server{
+		Server: http.Server{Addr: e.ReadinessAddress, MaxHeaderBytes: maxHeaderBytes, Handler: mux},
+		Limits: e.otherLimits, Observer: rec, Log: e.Log,
+	}
+	e.operatorServer = &operator.Server{Observer: rec, Log: e.Log, Address: e.OperatorAddress, Gatherer: e.registry, Ready: e.ready, Status: e.status}
 }
 
 // ready reports whether the entry accepts new connections.
--- a/radishweir/internal/composer/limits.go
+++ b/radishweir/internal/composer/limits.go
@@ -31,6 +31,10 @@
 	maxHeaderBytes = 16 << 10
 	// headerBytesBound is the largest size of headers that a configuration can allow.
 	headerBytesBound = 64 << 10
+	// otherConnections is the number of connections of load balancers, and otherMemory the
+	// memory in bytes of their requests beyond the allowances.
+	otherConnections = 64
+	otherMemory      = 1 << 20
 )
 
 // callerLimits returns the limits of callers: those of the configuration in force, and those
@@ -54,6 +58,13 @@
 	return l
 }
 
+// otherLimits returns the limits of the load balancer's connections.
+func (e *Entry) otherLimits() limiter.Limits {
+	l := e.callerLimits()
+	l.Connections, l.Memory = otherConnections, otherMemory
+	return l
+}
+
 // requestMemory returns the memory in bytes for callers' requests beyond the allowances of
 // their connections.
 func (s *Settings) requestMemory() int64 {
