Messenger: strangers at the port of entries take little memory

What callers saw: 900 connections to the port for other entries, each of which announced a message of 8 MiB and sent 256 KiB of it, brought an entry to 342 MB (TestCrowdAtPeersPort on, want at most 144).

Cause: the first message of a connection could be as large as a frame, its memory was taken as announced, and connections that had not said who they are were not bounded.

Change: the first message may have 4 KiB, larger ones take memory as they arrive, and at most 64 connections may be without a first message; the oldest of them gives way. The log line about an unreadable one is limited to 5 a second.

--- a/lib/messenger/messenger.go
+++ b/lib/messenger/messenger.go
@@ -60,6 +60,9 @@
 	// dialled: the peer may be running and have lost only its connection to the
 	// store.
 	forgetAfter = 30 * time.Second
+	// unreadablePerSecond is the maximum number of log lines per second about unreadable
+	// hellos.
+	unreadablePerSecond = 5
 	// maxFrameBytes is the maximum size of a received frame.
 	maxFrameBytes = 8 << 20
 )
@@ -120,6 +123,10 @@
 	mu          sync.Mutex
 	peers       map[string]*peer
 	incoming    map[string]*incoming
+	// strangers are the connections that have not sent their hello yet, oldest first.
+	strangers []net.Conn
+	// unreadable logs unreadable hellos, which may come in floods.
+	unreadable zerolog.Logger
 	// lastIncoming holds the last connection of each peer, also once it has ended.
 	lastIncoming map[string]connectionID
 }
@@ -131,6 +138,7 @@
 		return errors.Wrap(err, "listen for entries")
 	}
 	m.listener = l
+	m.unreadable = m.Log.Sample(&zerolog.BurstSampler{Burst: unreadablePerSecond, Period: time.Second})
 	m.lastSession.Store(uint64(rand.Uint32()))
 	return nil
 }
@@ -155,6 +163,7 @@
 			time.Sleep(redialInterval)
 			continue
 		}
+		m.addStranger(c)
 		go m.receive(ctx, c, accepted)
 	}
 }
--- a/lib/messenger/receive.go
+++ b/lib/messenger/receive.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
-	"google.golang.org/protobuf/encoding/protodelim"
 
 	"radishweir.org/lib/wire"
 )
@@ -47,9 +46,6 @@
 	done chan struct{}
 }
 
-// readLimits limits the size of a received message.
-var readLimits = protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
-
 // receive reads frames until the connection breaks or goes silent.
 func (m *Messenger) receive(ctx context.Context, c net.Conn, accepted uint64) {
 	defer func() { _ = c.Close() }()
@@ -58,8 +54,10 @@
 	r := bufio.NewReader(c)
 	hello := &wire.PeerHello{}
 	_ = c.SetReadDeadline(time.Now().Add(SilenceLimit))
-	if err := readLimits.UnmarshalFrom(r, hello); err != nil {
-		m.Log.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("peer_hello_unreadable")
+	err := readMessage(r, maxHelloBytes, hello)
+	m.removeStranger(c)
+	if err != nil {
+		m.unreadable.Warn().Str("remote", c.RemoteAddr().String()).Err(err).Msg("peer_hello_unreadable")
 		return
 	}
 	id := connectionID{hello.GetIncarnation(), hello.GetSession(), accepted}
@@ -68,7 +66,7 @@
 		m.Log.Info().Str("peer", hello.GetName()).Uint64("session", in.session).Msg("older_connection_closed")
 		return
 	}
-	err := m.readFrames(r, hello.GetName(), in)
+	err = m.readFrames(r, hello.GetName(), in)
 	close(in.done)
 	m.removeIncoming(hello.GetName(), in, err)
 }
@@ -77,7 +75,7 @@
 func (m *Messenger) readFrames(r *bufio.Reader, name string, in *incoming) error {
 	for {
 		f := &wire.PeerFrame{}
-		if err := readLimits.UnmarshalFrom(r, f); err != nil {
+		if err := readMessage(r, maxFrameBytes, f); err != nil {
 			return err
 		}
 		if age := frameAge(f); len(f.GetRequests())+len(f.GetDelegated()) > 0 && (age < 0 || age > maxFrameAge) {
--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -223,6 +224,16 @@
 	s.checkInvariants()
 }
 
+// Guards against strangers at the port of the other entries.
+func TestCrowdAtPeersPort(t *testing.T) {
+	s := newSmallSystem(t)
+	const size = 8 << 20
+	prefix := string(binary.AppendUvarint(nil, size-1))
+	s.withstand(s.entryAddresses["entry-1"], crowdSize, sendText(func(int, bool) string {
+		return prefix + strings.Repeat("x", bodyBytes)
+	}))
+}
+
 // Guards against strangers at the ports of the load balancer and of operators.
 func TestCrowdAtOtherPorts(t *testing.T) {
 	writeLimitedProgram(t)
