Drainer: at most 50 log lines a second about dropped requests

What operators saw: one line for each connection that a crowd left in the middle of a request, 900 in a second, in logs that cost CPU time and space.

Cause: the event request_dropped was not limited, unlike those of refused jobs.

Change: the metric counts all, the log shows the first 50 of each second.

--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -51,6 +51,8 @@
 	closeTime = time.Second
 	// drainInterval is the time between two checks for open connections.
 	drainInterval = 20 * time.Millisecond
+	// dropsPerSecond is the maximum number of log lines per second about dropped requests.
+	dropsPerSecond = 50
 )
 
 // Observer counts requests without an answer.
@@ -78,6 +80,8 @@
 	Log zerolog.Logger
 
 	account account
+	// drops logs dropped requests, which may come in floods.
+	drops   zerolog.Logger
 	retired atomic.Bool
 	// acceptedLate counts the connections that the listener's queue held when it stopped.
 	acceptedLate atomic.Int64
@@ -103,6 +107,7 @@
 	if !ok {
 		return errors.Errorf("a listener of type %T cannot be drained", l)
 	}
+	s.drops = s.Log.Sample(&zerolog.BurstSampler{Burst: dropsPerSecond, Period: time.Second})
 	handler, connContext := s.Handler, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -254,5 +259,5 @@
 // dropped reports a request that arrived at c and gets no answer. The lock of c is held.
 func (s *Server) dropped(c *conn, state string) {
 	s.Observer.RequestDropped(state)
-	s.Log.Warn().Str("address", c.RemoteAddr().String()).Str("state", state).Int64("after_ms", time.Since(c.since).Milliseconds()).Msg("request_dropped")
+	s.drops.Warn().Str("address", c.RemoteAddr().String()).Str("state", state).Int64("after_ms", time.Since(c.since).Milliseconds()).Msg("request_dropped")
 }
