--- a/lib/drainer/limits.go
+++ b/lib/drainer/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -365,3 +366,13 @@
 	})
 	return errors.Join(err, optErr)
 }
+
+// DescriptorLimit returns the number of descriptors that the kernel lets this process open, 0
+// if it is unknown.
+var DescriptorLimit = sync.OnceValue(func() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, math.MaxInt32))
+})
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -163,7 +163,7 @@
 	e.coordinator = &coordinator.Coordinator{
 		Self: e.Name, Domain: e.FailureDomain, PeerTimeout: messenger.SilenceLimit, FarFactor: e.farFactor(),
 		Throttle: throttler.Throttler{Enabled: e.CongestionControl}, TightPacking: e.TightPacking,
-		MaxKeptMemory: e.requestMemory(),
+		MaxKeptMemory: e.vm().RequestMemory(),
 		Local:         e.runner, Remote: e.messenger, Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
 	}
 }
--- a/radishweir/internal/composer/limits.go
+++ b/radishweir/internal/composer/limits.go
@@ -1,28 +1,15 @@
 package composer
 
 import (
-	"sync"
+	"cmp"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/limiter"
 	"radishweir.org/lib/loader"
 )
 
 const (
-	// requestMemoryPercent is the share of the VM's memory for callers' requests beyond the
-	// allowances of their connections, and again for kept jobs.
-	requestMemoryPercent = 16
-	// connectionMemoryPercent is the share of the VM's memory for callers' connections, and
-	// connectionBytes the memory of one in bytes, its buffers in the kernel included.
-	connectionMemoryPercent = 30
-	connectionBytes         = 80 << 10
-	// fileDescriptors is the number of descriptors that callers' connections leave to files,
-	// and ownDescriptorPercent the share of the others that they leave to connections to
-	// entries, upstreams and the store.
-	fileDescriptors      = 200
-	ownDescriptorPercent = 40
 	// headerTimeout, idleTimeout and maxHeaderBytes apply unless the configuration sets
 	// others: the time in which a client must send its headers, the time after which an idle
 	// client connection is closed, and the size of a request's headers in bytes.
@@ -41,8 +28,9 @@
 // that follow from the size of this VM.
 func (e *Entry) callerLimits() limiter.Limits {
 	s := e.current.Load()
+	vm := s.vm()
 	l := limiter.Limits{
-		Connections: s.callerConnections(), Memory: s.requestMemory(), HeaderBytes: maxHeaderBytes,
+		Connections: vm.Connections(s.MaxConnections), Memory: vm.RequestMemory(), HeaderBytes: maxHeaderBytes,
 		HeaderTimeout: headerTimeout, BodyTimeout: loader.Duration(s.BodyTimeout), IdleTimeout: idleTimeout,
 	}
 	t, _ := e.router.Table()
@@ -65,38 +53,7 @@
 	return l
 }
 
-// requestMemory returns the memory in bytes for callers' requests beyond the allowances of
-// their connections.
-func (s *Settings) requestMemory() int64 {
-	return int64(s.MemoryMB) << 20 * requestMemoryPercent / 100
-}
-
-// callerConnections returns the number of callers' connections that this VM has memory and
-// descriptors for, or less if the settings say so.
-func (s *Settings) callerConnections() int {
-	n := int(int64(s.MemoryMB) << 20 * connectionMemoryPercent / 100 / connectionBytes)
-	if d := s.descriptors(); d > 0 {
-		n = min(n, max(1, (d-fileDescriptors)*(100-ownDescriptorPercent)/100))
-	}
-	if s.MaxConnections > 0 {
-		n = min(n, s.MaxConnections)
-	}
-	return n
-}
-
-// descriptors returns the number of descriptors that this process may open, 0 if unknown.
-func (s *Settings) descriptors() int {
-	if s.MaxDescriptors > 0 {
-		return s.MaxDescriptors
-	}
-	return descriptorLimit()
+// vm returns the size of this VM.
+func (s *Settings) vm() limiter.VM {
+	return limiter.VM{Memory: int64(s.MemoryMB) << 20, Descriptors: cmp.Or(s.MaxDescriptors, drainer.DescriptorLimit())}
 }
-
-// descriptorLimit returns the kernel's limit of this process, 0 if unknown.
-var descriptorLimit = sync.OnceValue(func() int {
-	var l unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
-		return 0
-	}
-	return int(min(l.Cur, 1<<30))
-})
