Caller: bounded requests in the program's other mode

What callers saw: an entry whose upstreams answer each task took 625 MB for 500 unfinished bodies of 1 MiB (631 MB in chunks), 6,755 MB for bodies of a third of a million empty tasks in JSON, 12,261 MB for half a million in protobuf, and 266 MB for answers that nobody reads (TestFleetCrowds on, there without the setting memory_mb; want at most 256). Bodies of strangers (96 MB) and short header lines (253 MB) stayed within the bound.

Cause: the causes of the leased mode, with bodies of up to 16 MiB; an empty task takes two bytes of the body and 150 of memory, and tasks were counted only once they were decoded.

Change: the server of callers has the limits of package limiter. Its memory is that of the new setting memory_mb, or of the VM. Tasks are counted before they are decoded. A request without memory is answered 429 with Retry-After, which says nothing of earlier submissions of its job.

--- a/lib/caller/caller.go
+++ b/lib/caller/caller.go
@@ -33,6 +33,7 @@
 
 	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/forwarder"
+	"radishweir.org/lib/limiter"
 	"radishweir.org/lib/tracker"
 	"radishweir.org/lib/wire"
 )
@@ -46,12 +47,15 @@
 	MaxIdentifiers = 1000
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the time to read a whole request.
+	// bodyTimeout bounds the time to read the body of a request.
 	bodyTimeout = 30 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 16 << 10
+	// memoryRetry is the time after which a caller may come back for whose request there was
+	// no memory.
+	memoryRetry = time.Second
 )
 
 // Jobs routes requests to the homes of their jobs. forwarder.Forwarder
@@ -87,6 +91,10 @@
 	Services Services
 	// Ready reports whether new jobs are accepted.
 	Ready func() bool
+	// VM is the size of this VM, which bounds what the requests of all callers take, and
+	// MaxConnections the number of their connections; 0 for what the VM has room for.
+	VM             limiter.VM
+	MaxConnections int
 	// Recorder records metrics.
 	Recorder Recorder
 	// Log receives events.
@@ -110,18 +118,27 @@
 	s.requests, s.cancelRequests = context.WithCancel(context.Background())
 	s.server = &drainer.Server{
 		Server: http.Server{
-			Handler:           s.Handler(),
-			ReadHeaderTimeout: headerTimeout,
-			ReadTimeout:       bodyTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			BaseContext:       func(net.Listener) context.Context { return s.requests },
+			Handler:        s.Handler(),
+			MaxHeaderBytes: maxHeaderBytes,
+			BaseContext:    func(net.Listener) context.Context { return s.requests },
 		},
-		Observer: s.Recorder, Log: s.Log,
+		Limits: s.limits, Observer: s.Recorder, Log: s.Log,
 	}
 	return nil
 }
 
+// limits returns the limits of callers.
+func (s *Server) limits() limiter.Limits {
+	return limiter.Limits{
+		Connections: s.VM.Connections(s.MaxConnections), Memory: s.VM.RequestMemory(), HeaderBytes: maxHeaderBytes,
+		HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// Usage returns the number of callers' connections and the memory of their requests in bytes,
+// as far as it counts towards the limits.
+func (s *Server) Usage() (connections int, memory int64) { return s.server.Usage() }
+
 // Run serves until Drain. Listen must have been called.
 func (s *Server) Run() error {
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -206,7 +223,7 @@
 // submit accepts a job.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, auth authContext) error {
 	start := time.Now()
-	job, err := readJob(w, r)
+	job, err := readJob(r)
 	if err != nil {
 		return err
 	}
--- a/lib/caller/codec.go
+++ b/lib/caller/codec.go
@@ -1,17 +1,19 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"radishweir.org/lib/classifier"
+	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/placer"
 	"radishweir.org/lib/wire"
 )
@@ -47,22 +49,56 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// readJob decodes a submission.
-func readJob(w http.ResponseWriter, r *http.Request) (*wire.JobRequest, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+// readJob decodes a submission. The memory of its body and of its tasks counts until it is
+// answered.
+func readJob(r *http.Request) (*wire.JobRequest, error) {
+	data, err := drainer.ReadBody(r, MaxBodyBytes)
+	var refused *drainer.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return nil, refuse(http.StatusTooManyRequests, refused.Error())
+	case errors.Is(err, drainer.ErrBodyTooLarge):
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the body exceeds 16 MiB")
-	}
-	if err != nil {
+	case err != nil:
 		return nil, refuse(http.StatusBadRequest, "the body broke off")
 	}
-	return DecodeJob(r.Header.Get("Content-Type"), data)
+	kind := r.Header.Get("Content-Type")
+	if err := drainer.Reserve(r.Context(), int64(len(data)+countTasks(kind, data)*taskMemory)); err != nil {
+		return nil, refuse(http.StatusTooManyRequests, err.Error())
+	}
+	job, err := DecodeJob(kind, data)
+	drainer.Release(r.Context(), int64(cap(data)))
+	return job, err
+}
+
+// taskMemory is the memory in bytes of a task without its input.
+const taskMemory = 256
+
+// countTasks returns a number that is not lower than that of the tasks in an encoded job, and
+// for a valid job close to it.
+func countTasks(contentType string, data []byte) int {
+	if contentType != contentProtobuf {
+		return bytes.Count(data, []byte{'{'})
+	}
+	n := 0
+	for len(data) > 0 {
+		_, _, size := protowire.ConsumeField(data)
+		if size < 0 {
+			break
+		}
+		data = data[size:]
+		n++
+	}
+	return n
 }
 
 // DecodeJob decodes a submission. Any content type other than protobuf is
 // decoded as JSON.
 func DecodeJob(contentType string, data []byte) (*wire.JobRequest, error) {
+	// An empty task takes two bytes, so that a small body could hold millions.
+	if countTasks(contentType, data) > MaxTasks+otherValues {
+		return nil, refuse(http.StatusBadRequest, "a job may have at most "+strconv.Itoa(MaxTasks)+" tasks")
+	}
 	job := &wire.JobRequest{}
 	if contentType == contentProtobuf {
 		if err := proto.Unmarshal(data, job); err != nil {
@@ -76,6 +112,9 @@
 	return job, nil
 }
 
+// otherValues is the number of values of a job beside its tasks that countTasks may count.
+const otherValues = 100
+
 // oneLine quotes an error message so that it fits on one line.
 func oneLine(err error) string {
 	return strconv.QuoteToGraphic(err.Error())
@@ -173,6 +212,9 @@
 	if errors.As(err, &e) {
 		status = e.Status
 	}
+	if status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", strconv.Itoa(int(memoryRetry.Seconds())))
+	}
 	w.Header().Set("Content-Type", contentJSON)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(errorBody{err.Error()})
--- a/lib/drainer/limits.go
+++ b/lib/drainer/limits.go
@@ -26,9 +26,13 @@
 	// answerPiece the size of such a piece in bytes.
 	answerTimeout = 10 * time.Second
 	answerPiece   = 64 << 10
-	// socketBuffer is the size in bytes of each buffer of a connection's socket. It bounds
-	// what waits there unread while the connection's request is served.
-	socketBuffer = 16 << 10
+	// receiveBuffer and sendBuffer are the sizes in bytes of the buffers of a connection's
+	// socket. They bound what waits there while the connection's request is served, and what
+	// its caller does not receive. With a smaller send buffer, of which the kernel makes
+	// twice the size, each segment on the loopback interface would wait for a delayed
+	// acknowledgement.
+	receiveBuffer = 16 << 10
+	sendBuffer    = 40 << 10
 	// firstBuffer is the size in bytes of the buffer that a body is first read into.
 	firstBuffer = 2 << 10
 )
@@ -360,8 +364,8 @@
 	var optErr error
 	err = raw.Control(func(fd uintptr) {
 		optErr = errors.Join(
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
 		)
 	})
 	return errors.Join(err, optErr)
--- a/lib/limiter/sizes.go
+++ b/lib/limiter/sizes.go
@@ -1,5 +1,7 @@
 package limiter
 
+import "math"
+
 // Shares of a VM that callers' connections and requests may take.
 const (
 	// requestMemoryPercent is the share of the memory for requests beyond the allowances of
@@ -18,7 +20,7 @@
 
 // VM is the size of a VM.
 type VM struct {
-	// Memory is its memory in bytes.
+	// Memory is its memory in bytes; 0 if unknown.
 	Memory int64
 	// Descriptors is the number of descriptors that a process may open; 0 if unknown.
 	Descriptors int
@@ -29,14 +31,20 @@
 func (v VM) RequestMemory() int64 { return v.Memory * requestMemoryPercent / 100 }
 
 // Connections returns the number of callers' connections, at most the given number if that is
-// positive.
+// positive; 0 if there is no limit.
 func (v VM) Connections(most int) int {
-	n := int(v.Memory * connectionMemoryPercent / 100 / connectionBytes)
+	n := math.MaxInt
+	if v.Memory > 0 {
+		n = max(1, int(v.Memory*connectionMemoryPercent/100/connectionBytes))
+	}
 	if v.Descriptors > 0 {
-		n = min(n, (v.Descriptors-fileDescriptors)*connectionDescriptorPercent/100)
+		n = min(n, max(1, (v.Descriptors-fileDescriptors)*connectionDescriptorPercent/100))
 	}
 	if most > 0 {
 		n = min(n, most)
 	}
-	return max(n, 1)
+	if n == math.MaxInt {
+		return 0
+	}
+	return n
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -105,6 +105,8 @@
 	operatorAddresses map[string]string
 	peerAddresses     map[string]string
 	vms               []map[string]any
+	// entryProgram is the entry daemon, entrySettings holds more lines of its settings.
+	entryProgram, entrySettings string
 }
 
 // firstPort and portCount set the range of ports that the tests use. The range
@@ -174,8 +176,15 @@
 // newFleet starts a platform, upstreams and entries: in each failure domain,
 // perDomain entries and two upstreams.
 func newFleet(t testing.TB, perDomain int, domains ...string) *fleet {
+	t.Helper()
+	return newFleetOf(t, "radishweir", "", perDomain, domains...)
+}
+
+// newFleetOf is newFleet with a build of the entry daemon and more lines of its settings.
+func newFleetOf(t testing.TB, program, settings string, perDomain int, domains ...string) *fleet {
 	t.Helper()
 	f := &fleet{
+		entryProgram: program, entrySettings: settings,
 		t: t, dir: t.TempDir(), platform: freeAddress(t), domains: domains,
 		entries: map[string]*process{}, callerAddresses: map[string]string{}, operatorAddresses: map[string]string{}, peerAddresses: map[string]string{},
 	}
@@ -194,7 +203,7 @@
 	f.await("platform", func() bool { return f.putAdmin(f.platform, "vms", map[string]any{"vms": f.vms}) == nil })
 	f.ctl(0, append([]string{"keys", "issue", filepath.Join(f.dir, "keys")}, names...)...)
 	for n := range f.callerAddresses {
-		f.entries[n] = f.start("radishweir", "--settings", f.settingsFile(n))
+		f.entries[n] = f.start(f.entryProgram, "--settings", f.settingsFile(n))
 	}
 	f.await("entries to register", func() bool { return f.registered() == len(f.callerAddresses) })
 	f.applyQuestionnaire("claims", true)
@@ -314,7 +323,7 @@
 balancer_wait = "300ms"
 drain_limit = "20s"
 `, name, domain, f.callerAddresses[name], f.peerAddresses[name], f.operatorAddresses[name], f.platform, f.dir)
-	if err := os.WriteFile(f.settingsFile(name), []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(f.settingsFile(name), []byte(text+f.entrySettings), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	f.vms = append(f.vms, map[string]any{"name": name, "instance": "1", "role": "entry", "failure_domain": domain})
--- a/radishweir/internal/assembler/assembler.go
+++ b/radishweir/internal/assembler/assembler.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.limitMemory()
 	e := &Entry{Settings: s, started: time.Now()}
 	e.Log = log.With().Str("entry", s.Name).Logger()
 	e.self = &wire.Registration{
@@ -156,6 +157,7 @@
 	}
 	e.callerServer = &caller.Server{
 		Address: e.CallerAddress, Jobs: e.forwarder, Services: e.configurer, Ready: e.ready,
+		VM: e.vm(), MaxConnections: e.MaxConnections,
 		Recorder: e.recorder, Log: e.Log,
 	}
 	e.operatorServer = &operator.Server{
--- a/radishweir/internal/assembler/settings.go
+++ b/radishweir/internal/assembler/settings.go
@@ -26,6 +26,9 @@
 	BalancerWait      string   `toml:"balancer_wait"`
 	DrainLimit        string   `toml:"drain_limit"`
 	Seeds             []string `toml:"seeds"`
+	MemoryMB          int      `toml:"memory_mb"`
+	MaxConnections    int      `toml:"max_connections"`
+	MaxDescriptors    int      `toml:"max_descriptors"`
 }
 
 // fields lists the settings with their defaults and validators.
@@ -45,6 +48,9 @@
 		{Key: "balancer_wait", Value: &s.BalancerWait, Default: "2s", Check: loader.DurationRange(0, time.Minute)},
 		{Key: "drain_limit", Value: &s.DrainLimit, Default: "60s", Check: loader.DurationRange(time.Second, time.Hour)},
 		{Key: "seeds", Value: &s.Seeds, Default: []string{}, Check: checkSeeds},
+		{Key: "memory_mb", Value: &s.MemoryMB, Default: 0, Check: loader.IntRange(0, 1<<20)},
+		{Key: "max_connections", Value: &s.MaxConnections, Default: 0, Check: loader.IntRange(0, 1<<20)},
+		{Key: "max_descriptors", Value: &s.MaxDescriptors, Default: 0, Check: loader.IntRange(0, 1<<30)},
 	}
 }
 
