Drainer: a drain does not wait for requests that do not go on

Cause: an unfinished request may take its body timeout (10 s), which is longer than the drain (5.5 s).

Change: once a server is retired, a request that has not arrived whole and has been without progress for 1 s is refused, unless bytes of it wait unread. Its caller may send it again to an entry that stays.

--- a/lib/drainer/limits.go
+++ b/lib/drainer/limits.go
@@ -22,6 +22,9 @@
 	// unreadGrace is the time that a connection gets on which bytes have arrived in time but
 	// were not read yet, as this server was paused or short of CPU time.
 	unreadGrace = time.Second
+	// stallTimeout is how long an unfinished request may be without progress once the server
+	// is retired, as it would hold up the drain.
+	stallTimeout = time.Second
 	// answerTimeout is how long a caller may take to receive a piece of an answer, and
 	// answerPiece the size of such a piece in bytes.
 	answerTimeout = 10 * time.Second
@@ -87,11 +90,20 @@
 	s.account.ended[reason]++
 }
 
+// currentLimits returns the limits in force.
+func (s *Server) currentLimits() limiter.Limits {
+	l := s.Limits()
+	if s.retired.Load() {
+		l.StallTimeout = stallTimeout
+	}
+	return l
+}
+
 // open adds a connection and reports whether it is accepted.
 func (s *Server) open(c *conn) bool {
 	accepted := true
 	s.update(func(l *limiter.Ledger[*conn], now time.Time) (out []limiter.Victim[*conn]) {
-		l.Limits = s.Limits()
+		l.Limits = s.currentLimits()
 		if out, accepted = l.Open(c, now); !accepted {
 			s.count(limiter.TooManyConnections)
 		}
@@ -154,7 +166,7 @@
 	for open := 1; ctx.Err() == nil || open > 0; {
 		<-t.C
 		s.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
-			l.Limits = s.Limits()
+			l.Limits = s.currentLimits()
 			open, _ = l.Counts()
 			return overdue(l, now)
 		})
--- a/lib/drainer/limits_test.go
+++ b/lib/drainer/limits_test.go
@@ -1,6 +1,7 @@
 package drainer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -101,6 +102,28 @@
 	}
 }
 
+// Guards against a drain that waits for bodies that do not go on.
+func TestDrainDoesNotWaitForStalledBodies(t *testing.T) {
+	s, connect := serveLimited(t, limiter.Limits{BodyTimeout: time.Minute}, readBody)
+	stalled := connect()
+	if err := stalled.post(1000, 999); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, _, served := s.Counts(); served > 0 {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	if err := s.Drain(ctx); err != nil {
+		t.Errorf("the drain ended with %v", err)
+	}
+	if status, closes, err := stalled.status(); status != http.StatusServiceUnavailable || !closes {
+		t.Errorf("the request was answered %d, closes %v, %v", status, closes, err)
+	}
+}
+
 // Guards against a limit that callers meet in calm: requests of all forms, one after the other
 // on one connection, which waits in between, and many at once.
 func TestCallersInCalmMeetNoLimit(t *testing.T) {
--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -80,6 +80,8 @@
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
+	// StallTimeout is how long a request that has not arrived whole may be without progress.
+	StallTimeout time.Duration
 }
 
 // Phase is what a connection does.
@@ -308,7 +310,8 @@
 func (l *Ledger[K]) Overdue(now time.Time) []Victim[K] {
 	var out []Victim[K]
 	for k, u := range l.uses {
-		if u.ended || u.deadline.IsZero() || now.Before(u.deadline) {
+		late := !u.deadline.IsZero() && !now.Before(u.deadline)
+		if u.ended || !late && !l.stalled(u, now) {
 			continue
 		}
 		reason := IdleTimedOut
@@ -323,13 +326,18 @@
 	return out
 }
 
+// stalled reports whether an unfinished request has been without progress for too long.
+func (l *Ledger[K]) stalled(u *use, now time.Time) bool {
+	return l.StallTimeout > 0 && (u.phase == Header || u.phase == Body) && now.Sub(u.activeAt) >= l.StallTimeout
+}
+
 // Extend gives a victim of Overdue that has made progress since until the given time.
 func (l *Ledger[K]) Extend(k K, until time.Time) {
 	u := l.uses[k]
 	if u == nil || !u.ended {
 		return
 	}
-	u.ended, u.deadline = false, until
+	u.ended, u.deadline, u.activeAt = false, until, until
 	l.releasing -= u.shared()
 	l.shared += u.shared()
 }
