--- a/proof/crowd_forms_test.go
+++ b/proof/crowd_forms_test.go
@@ -119,6 +119,16 @@
 	}))
 }
 
+// Guards against tasks that run much longer than their jobs declare: the upstreams look as if
+// they hung.
+func TestCrowdOfStalledTasks(t *testing.T) {
+	s := newSmallSystem(t)
+	s.holdTasks()
+	s.withstand(s.requestAddresses["entry-1"], crowdSize, sendText(func(n int, _ bool) string {
+		return submission(n, ordinaryJob)
+	}))
+}
+
 // Guards against callers that take all descriptors by connections without a request.
 func TestCrowdOfIdleConnections(t *testing.T) {
 	writeLimitedProgram(t)
