Drainer, platform: smaller files and functions for the limits of callers

Read as a newcomer would: lib/drainer/limits.go held the ledger, the reading of bodies and the options of sockets, and JobHandler.submit read, checked, timed and submitted a job in one function with two ways to refuse.

Tests of lib/drainer (limits, forms), lib/limiter and platform pass.

--- a/lib/drainer/limits.go
+++ b/lib/drainer/limits.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"io"
-	"math"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
-
 	"radishweir.org/lib/limiter"
 )
 
@@ -29,34 +24,8 @@
 	// answerPiece the size of such a piece in bytes.
 	answerTimeout = 10 * time.Second
 	answerPiece   = 64 << 10
-	// receiveBuffer and sendBuffer are the sizes in bytes of the buffers of a connection's
-	// socket. They bound what waits there while the connection's request is served, and what
-	// its caller does not receive. With a smaller send buffer, of which the kernel makes
-	// twice the size, each segment on the loopback interface would wait for a delayed
-	// acknowledgement.
-	receiveBuffer = 16 << 10
-	sendBuffer    = 40 << 10
-	// firstBuffer is the size in bytes of the buffer that a body is first read into.
-	firstBuffer = 2 << 10
 )
 
-// ErrBodyTooLarge is the error of a body that is larger than allowed.
-var ErrBodyTooLarge = errors.New("the body is too large")
-
-// RefusedError is the error of a request that does not fit the limits of its server. The
-// request was not processed.
-type RefusedError struct {
-	Reason limiter.Reason
-}
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	if e.Reason == limiter.BodyTimedOut {
-		return "the body did not arrive in time"
-	}
-	return "the entry has no memory for the request"
-}
-
 // account is the ledger of a server's connections. Its lock is taken last of all.
 type account struct {
 	mu     sync.Mutex
@@ -81,6 +50,14 @@
 	}
 }
 
+// note changes the ledger by a step that has no victims.
+func (s *Server) note(f func(l *limiter.Ledger[*conn], now time.Time)) {
+	s.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
+		f(l, now)
+		return nil
+	})
+}
+
 // count counts a connection or request that is ended. The lock of the account is held.
 func (s *Server) count(reason limiter.Reason) {
 	s.Observer.CallerLimited(string(reason))
@@ -124,38 +101,28 @@
 
 // begin records that the handler got a request.
 func (s *Server) begin(c *conn, r *http.Request) {
-	s.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
+	s.note(func(l *limiter.Ledger[*conn], now time.Time) {
 		if r.Body == nil || r.Body == http.NoBody {
 			l.BeginAnswer(c, now)
 		} else {
 			l.BeginBody(c, now)
 		}
-		return nil
 	})
 }
 
 // finish records that the handler has returned.
 func (s *Server) finish(c *conn) {
-	s.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
-		l.End(c, now)
-		return nil
-	})
+	s.note(func(l *limiter.Ledger[*conn], now time.Time) { l.End(c, now) })
 }
 
 // becomeIdle records that a connection waits for its next request.
 func (s *Server) becomeIdle(c *conn) {
-	s.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
-		l.BeginIdle(c, now)
-		return nil
-	})
+	s.note(func(l *limiter.Ledger[*conn], now time.Time) { l.BeginIdle(c, now) })
 }
 
 // forget removes a closed connection.
 func (s *Server) forget(c *conn) {
-	s.update(func(l *limiter.Ledger[*conn], _ time.Time) []limiter.Victim[*conn] {
-		l.Close(c)
-		return nil
-	})
+	s.note(func(l *limiter.Ledger[*conn], _ time.Time) { l.Close(c) })
 }
 
 // sweep ends the connections whose phase has lasted for too long, until ctx ends and no
@@ -264,131 +231,3 @@
 	}
 	return &RefusedError{c.refused}
 }
-
-// connOf returns the connection of a request, nil if no Server with limits serves it.
-func connOf(ctx context.Context) *conn {
-	c, _ := ctx.Value(connKey{}).(*conn)
-	if c == nil || c.server.Limits == nil {
-		return nil
-	}
-	return c
-}
-
-// Reserve adds n bytes to the memory that a request takes until it is answered. It returns a
-// *RefusedError if there is not so much.
-func Reserve(ctx context.Context, n int64) error {
-	c := connOf(ctx)
-	if c == nil {
-		return nil
-	}
-	fits := true
-	c.server.update(func(l *limiter.Ledger[*conn], now time.Time) (out []limiter.Victim[*conn]) {
-		if out, fits = l.Reserve(c, n, now); !fits {
-			c.server.count(limiter.NoMemory)
-		}
-		return out
-	})
-	if fits {
-		return nil
-	}
-	return &RefusedError{limiter.NoMemory}
-}
-
-// Release takes back n bytes of what Reserve has added.
-func Release(ctx context.Context, n int64) {
-	if c := connOf(ctx); c != nil {
-		c.server.update(func(l *limiter.Ledger[*conn], _ time.Time) []limiter.Victim[*conn] {
-			l.Release(c, n)
-			return nil
-		})
-	}
-}
-
-// ReadBody reads the body of a request, whose memory counts until the request is answered. It
-// returns ErrBodyTooLarge for one of more than limit bytes, where 0 means no limit, and a
-// *RefusedError if the request does not fit the limits of its server.
-func ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	if limit > 0 && r.ContentLength > limit {
-		return nil, ErrBodyTooLarge
-	}
-	c := connOf(r.Context())
-	data, err := readAll(r, limit)
-	if c == nil {
-		return data, err
-	}
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		c.refuse(refused.Reason)
-		return nil, err
-	}
-	if err == nil {
-		c.server.update(func(l *limiter.Ledger[*conn], now time.Time) []limiter.Victim[*conn] {
-			l.BeginAnswer(c, now)
-			return nil
-		})
-	}
-	// The request may have been refused for another one while it was read.
-	if refusal := c.refusal(); refusal != nil {
-		return nil, refusal
-	}
-	return data, err
-}
-
-// readAll reads a body into a buffer that grows with what has arrived.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	// One byte more than the body shows its end.
-	most := int64(1) << 62
-	if r.ContentLength >= 0 {
-		most = r.ContentLength + 1
-	} else if limit > 0 {
-		most = limit + 1
-	}
-	var data []byte
-	for {
-		if len(data) == cap(data) {
-			size := min(max(firstBuffer, 2*int64(cap(data))), most)
-			if err := Reserve(r.Context(), size); err != nil {
-				return nil, err
-			}
-			old := data
-			data = append(make([]byte, 0, size), old...)
-			Release(r.Context(), int64(cap(old)))
-		}
-		n, err := r.Body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case limit > 0 && int64(len(data)) > limit:
-			return nil, ErrBodyTooLarge
-		case errors.Is(err, io.EOF):
-			return data, nil
-		case err != nil:
-			return nil, errors.Wrap(err, "read the body")
-		}
-	}
-}
-
-// limitBuffers sets the sizes of the buffers of the sockets that a listener accepts.
-func limitBuffers(l *net.TCPListener) error {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = errors.Join(
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer),
-			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer),
-		)
-	})
-	return errors.Join(err, optErr)
-}
-
-// DescriptorLimit returns the number of descriptors that the kernel lets this process open, 0
-// if it is unknown.
-var DescriptorLimit = sync.OnceValue(func() int {
-	var l unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
-		return 0
-	}
-	return int(min(l.Cur, math.MaxInt32))
-})
