Limiter: an answer that is being written keeps its connection

What callers could see: at the limit of connections, an answer cut off after its handler had returned, as its connection then counted as about to be closed and gave way first. Found by reading the diff; not seen in a run.

Cause: net/http writes the last bytes of an answer after the handler returns, and only then is the connection idle or closed.

Change: such a connection gives way only 200 ms later. TestAnswersAreWrittenBeforeTheirConnectionsClose fails without it.

--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -53,6 +53,9 @@
 	// stallTime is the time without progress after which an unfinished request gives its
 	// connection to others before an idle connection does.
 	stallTime = time.Second
+	// flushTime is the time in which the last bytes of an answer are written after its handler
+	// has returned. A connection that is closed sooner may lose them.
+	flushTime = 200 * time.Millisecond
 	// longWait is the time after which a request that waits for its answer gives its
 	// connection to others. Ordinary callers get their answers sooner.
 	longWait = 5 * time.Second
@@ -97,7 +100,7 @@
 	Body
 	// Answer: a request has arrived whole and has no answer yet.
 	Answer
-	// Closing: the last answer is written.
+	// Closing: the handler has returned, and its answer is being written.
 	Closing
 )
 
@@ -410,7 +413,7 @@
 func (u *use) rank(now time.Time) (int, bool) {
 	switch {
 	case u.phase == Closing:
-		return 0, true
+		return 0, now.Sub(u.activeAt) >= flushTime
 	case u.phase == Answer:
 		return 4, now.Sub(u.activeAt) >= longWait
 	case u.used && u.phase == Idle:
--- a/lib/limiter/limiter_test.go
+++ b/lib/limiter/limiter_test.go
@@ -169,6 +169,22 @@
 	}
 }
 
+// An answer that is being written is not cut off for a new connection.
+func TestAnswersAreWrittenBeforeTheirConnectionsClose(t *testing.T) {
+	l := &limiter.Ledger[int]{Limits: limiter.Limits{Connections: 2}}
+	for k := range 2 {
+		l.Open(k, start)
+		l.BeginAnswer(k, start)
+	}
+	l.End(0, start.Add(time.Second))
+	if victims, ok := l.Open(2, start.Add(time.Second)); ok {
+		t.Errorf("a new connection took the place of an answer: %v", victims)
+	}
+	if _, ok := l.Open(2, start.Add(2*time.Second)); !ok {
+		t.Error("a connection that is about to be closed kept its place")
+	}
+}
+
 // Headers of short lines count for what they take once they are parsed.
 func TestHeadersTakeMemory(t *testing.T) {
 	l := &limiter.Ledger[int]{Limits: limiter.Limits{Memory: 24 * mb, HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second}}
