Test: a system that is built without a program starts the usual one

Cause: made the program of a system a field that newSystem sets; newDisturbed builds its system itself, and the empty name is the directory.

Change: an empty name means radishweir. No check changed.

--- a/proof/leased_test.go
+++ b/proof/leased_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -42,7 +43,8 @@
 	requestAddresses   map[string]string
 	readinessAddresses map[string]string
 	entryAddresses     map[string]string
-	// program is the entry daemon, extra holds more lines of its settings.
+	// program is the entry daemon, radishweir if it is empty, and extra holds more lines of its
+	// settings.
 	program, extra string
 
 	// ids is the number of job identifiers used so far.
@@ -134,7 +136,7 @@
 // startEntry starts the process of an entry.
 func (s *system) startEntry(name string) {
 	s.t.Helper()
-	s.entries[name] = s.start(s.program, "leased", "--settings", filepath.Join(s.dir, name+".toml"))
+	s.entries[name] = s.start(cmp.Or(s.program, "radishweir"), "leased", "--settings", filepath.Join(s.dir, name+".toml"))
 }
 
 // waitReady waits until the readiness check of an entry succeeds.
