--- a/review/third/cases.go
+++ b/review/third/cases.go
@@ -14,7 +14,9 @@
 type caseRun struct {
 	*World
 	trouble bool
-	rng     *rand.Rand
+	// only leaves out all disruptions but one, if it is not empty.
+	only string
+	rng  *rand.Rand
 }
 
 // scenario is what a case plays; it returns an error if the case could not run.
@@ -59,7 +61,7 @@
 		zone := []string{"z-a", "z-b", "z-c"}[i%3]
 		w.workers = append(w.workers, newWorker(w, i, "svc", zone, []string{"a", fmt.Sprintf("r-%d", i/4)}, sc.cpu))
 	}
-	c := &caseRun{World: w, trouble: trouble, rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}
+	c := &caseRun{World: w, trouble: trouble, only: os.Getenv("ONLY"), rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1))}
 	for _, e := range w.entries {
 		e.start()
 	}
@@ -90,6 +92,9 @@
 	return 0
 }
 
+// plays reports whether a disruption of the case is played.
+func (c *caseRun) plays(name string) bool { return c.trouble && (c.only == "" || c.only == name) }
+
 // newJob returns a kept job of one step.
 func (c *caseRun) newJob(count, cpu int, work time.Duration) *job {
 	j := &job{id: fmt.Sprintf("%016x", c.rng.Uint64()), queue: c.queues[0], kept: true, firstAt: time.Now()}
@@ -129,18 +134,35 @@
 }
 
 func init() {
-	// The store turns one machine away and takes its keys away, serves it again 5 s later.
-	scenarios["revoked"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 12, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
-		x, others := c.entries[0], c.entries[1:]
+	// The store turns two of six machines away and takes their keys away, serves them again 5.5 s later.
+	scenarios["revoked"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c", "z-c"}, workers: 12, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
+		away := []*entry{c.entries[0], c.entries[3]}
+		others := []*entry{c.entries[1], c.entries[2], c.entries[4], c.entries[5]}
 		var jobs []*job
-		for range 40 {
-			j := c.newJob(1, 2000, 2500*time.Millisecond)
-			if err := c.handIn(j, x); err != nil {
+		for range 80 {
+			jobs = append(jobs, c.newJob(1, 2000, 2500*time.Millisecond))
+		}
+		errs := make(chan error, len(away))
+		for i, x := range away {
+			go func() {
+				for k := i; k < len(jobs); k += len(away) {
+					if err := c.handIn(jobs[k], x); err != nil {
+						errs <- err
+						return
+					}
+				}
+				errs <- nil
+			}()
+		}
+		for range away {
+			if err := <-errs; err != nil {
 				return err
 			}
-			jobs = append(jobs, j)
 		}
-		if c.trouble {
+		for _, x := range away {
+			if !c.trouble {
+				break
+			}
 			c.check.note("the store turns %s away (reset) and its keys are taken away", x.name)
 			x.front.set("reset")
 			for _, key := range c.store.keys("/radishweir/entries/" + x.name) {
@@ -151,8 +173,10 @@
 		begin := time.Now()
 		go c.follow(jobs, others, begin.Add(25*time.Second))
 		time.Sleep(5500 * time.Millisecond)
-		c.check.note("the store serves %s again", x.name)
-		x.front.set("")
+		for _, x := range away {
+			c.check.note("the store serves %s again", x.name)
+			x.front.set("")
+		}
 		time.Sleep(time.Until(begin.Add(20 * time.Second)))
 		return nil
 	}}
--- a/review/third/cuts.go
+++ b/review/third/cuts.go
@@ -77,10 +77,10 @@
 		if inZone == 0 {
 			return fmt.Errorf("no task runs in z-a")
 		}
-		if c.trouble {
+		restarted := make(chan struct{})
+		if c.plays("stop") {
 			time.Sleep(time.Until(begin.Add(800 * time.Millisecond)))
 			c.check.note("%s gets SIGTERM", x.name)
-			restarted := make(chan struct{})
 			go func() {
 				x.stop()
 				c.check.note("%s has ended", x.name)
@@ -89,16 +89,52 @@
 				c.check.note("%s starts again", x.name)
 				close(restarted)
 			}()
+		} else {
+			close(restarted)
+		}
+		if c.plays("cut") {
 			time.Sleep(time.Until(begin.Add(3 * time.Second)))
 			c.check.note("zone z-a is cut off")
 			c.cutZone("z-a", "silent")
 			time.Sleep(6200 * time.Millisecond)
 			c.check.note("the cut is over")
 			c.cutZone("z-a", "")
-			<-restarted
 		}
+		<-restarted
 		c.follow(jobs, c.entries, begin.Add(40*time.Second))
 		time.Sleep(3 * time.Second)
 		return nil
 	}}
 }
+
+func init() {
+	// A zone is cut off, and the keys of its machines are taken away at once.
+	scenarios["cutrevoked"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 12, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
+		c.rackByZone()
+		var jobs []*job
+		for i := range 12 {
+			j := near(c.newJob(2, 2000, 7*time.Second), "z-a")
+			if err := c.handIn(j, c.entries[i%2]); err != nil {
+				return err
+			}
+			jobs = append(jobs, j)
+		}
+		time.Sleep(time.Second)
+		if c.trouble {
+			c.check.note("zone z-a is cut off, its keys are taken away")
+			c.cutZone("z-a", "silent")
+			for _, x := range c.entries[:2] {
+				for _, key := range c.store.keys("/radishweir/entries/" + x.name) {
+					c.check.note("key %s is taken away", key)
+					c.store.drop(key)
+				}
+			}
+			time.Sleep(6200 * time.Millisecond)
+			c.check.note("the cut is over")
+			c.cutZone("z-a", "")
+		}
+		c.follow(jobs, c.entries[2:], time.Now().Add(30*time.Second))
+		time.Sleep(2 * time.Second)
+		return nil
+	}}
+}
--- a/review/third/others.go
+++ b/review/third/others.go
@@ -1,11 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"math/rand/v2"
-	"sync"
-	"time"
-)
+import "time"
 
 func init() {
 	// A machine is removed for good while it holds most of the waiting jobs; another one comes 2 s
@@ -71,49 +66,6 @@
 		return nil
 	}}
 
-	// A worker crashes and is back under its id as a worker of another kind.
-	scenarios["kind"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 14, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
-		// Two workers are of kind b, the others of kind a.
-		for _, i := range []int{0, 1} {
-			k := c.workers[i]
-			k.mu.Lock()
-			k.labels = []string{"b", "r-0"}
-			k.mu.Unlock()
-			k.writeEntry()
-		}
-		time.Sleep(1500 * time.Millisecond)
-		var wg sync.WaitGroup
-		end := time.Now().Add(14 * time.Second)
-		for range 6 {
-			wg.Go(func() {
-				r := rand.New(rand.NewPCG(rand.Uint64(), 1))
-				for time.Now().Before(end) {
-					j := &job{id: fmt.Sprintf("%016x", r.Uint64()), queue: c.queues[0], kept: true, firstAt: time.Now()}
-					j.spec = "spec of " + j.id
-					j.steps = []step{{count: 4, cpu: 1000, work: 150 * time.Millisecond, estimate: 150, requires: "b"}}
-					c.add(j)
-					c.submit(j, c.entries[r.IntN(len(c.entries))], 1500*time.Millisecond)
-					time.Sleep(50 * time.Millisecond)
-				}
-			})
-		}
-		time.Sleep(2 * time.Second)
-		if c.trouble {
-			k := c.workers[0]
-			c.check.note("worker %s, of kind b, crashes", k.id)
-			k.crash(false)
-			time.Sleep(2 * time.Second)
-			k.mu.Lock()
-			k.labels = []string{"a", "r-0"}
-			k.mu.Unlock()
-			k.restart(false)
-			c.check.note("worker %s is back under its id, of kind a", k.id)
-			k.writeEntry()
-		}
-		wg.Wait()
-		return nil
-	}}
-
 	// A large job comes at once, shortly before the end of the traffic.
 	scenarios["large"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 6, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
 		n := 8
--- a/review/third/owner.go
+++ b/review/third/owner.go
@@ -12,7 +12,7 @@
 	scenarios["owner"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 12, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
 		c.rackByZone()
 		x := c.entries[4]
-		if c.trouble {
+		if c.plays("stop") {
 			c.check.note("%s gets SIGTERM", x.name)
 			x.stop()
 			c.check.note("%s has ended", x.name)
@@ -51,12 +51,16 @@
 		if refused > 0 {
 			return fmt.Errorf("%d jobs were refused", refused)
 		}
-		if c.trouble {
-			time.Sleep(time.Until(begin.Add(time.Second)))
+		time.Sleep(time.Until(begin.Add(time.Second)))
+		if c.plays("cut") {
 			c.check.note("zone z-b is cut off")
 			c.cutZone("z-b", "silent")
+		}
+		if c.plays("stop") {
 			x.start()
 			c.check.note("%s starts again", x.name)
+		}
+		if c.plays("cut") {
 			time.Sleep(6200 * time.Millisecond)
 			c.check.note("the cut is over")
 			c.cutZone("z-b", "")
