--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A zone is cut off, and a machine outside that holds jobs with tasks there is killed meanwhile.
+# A zone is cut off, and a machine outside that holds jobs with tasks there is stopped as planned meanwhile.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out.
 set -u
