--- a/review/third/cases.go
+++ b/review/third/cases.go
@@ -38,16 +38,16 @@
 // the case could not run.
 func runCase(name, program, recordPath string, trouble bool) (code int) {
 	sc := scenarios[name]
-	dir, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		fmt.Println(err)
-		return 2
-	}
-	if keep := os.Getenv("KEEP"); keep != "" {
-		dir = keep
-	} else {
-		defer func() { _ = os.RemoveAll(dir) }()
+	dir, remove := os.Getenv("KEEP"), func() {}
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "review-"); err != nil {
+			fmt.Println(err)
+			return 2
+		}
+		remove = func() { _ = os.RemoveAll(dir) }
 	}
+	defer remove()
 	f, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Println(err)
@@ -68,7 +68,7 @@
 	defer w.stopAll()
 	sigs := make(chan os.Signal, 1)
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
-	go func() { <-sigs; w.stopAll(); os.Exit(2) }()
+	go func() { <-sigs; w.stopAll(); remove(); os.Exit(2) }()
 	w.check.note("case %s, with the disruption: %v; %d machines, %d workers", name, trouble, len(w.entries), len(w.workers))
 	if err := w.waitReady(20 * time.Second); err != nil {
 		w.check.note("%v", err)
