--- a/review/third/standin/soak.go
+++ b/review/third/standin/soak.go
@@ -41,8 +41,10 @@
 		zones = append(zones, []string{"z-a", "z-b", "z-c"}[i%3])
 	}
 	w := newWorld(*program, dir, f, zones)
-	w.queues = []*queue{{name: "r-one", host: "one.example", prefix: "/one/", service: "svc", priority: 1, attempts: 3, stretch: 1.6, target: 60},
-		{name: "r-two", host: "two.example", prefix: "/two/", service: "svc", priority: 0, attempts: 4, stretch: 1.6, target: 60}}
+	w.queues = []*queue{
+		{name: "r-one", host: "one.example", prefix: "/one/", service: "svc", priority: 1, attempts: 3, stretch: 1.6, target: 60},
+		{name: "r-two", host: "two.example", prefix: "/two/", service: "svc", priority: 0, attempts: 4, stretch: 1.6, target: 60},
+	}
 	w.guards = *guards
 	w.configure()
 	for i := range *nw {
--- a/review/third/standin/worker.go
+++ b/review/third/standin/worker.go
@@ -78,8 +78,10 @@
 }
 
 func newWorker(w *World, index int, service, zone string, labels []string, cpu int) *Worker {
-	k := &Worker{w: w, index: index, service: service, zone: zone, labels: labels, cpu: cpu, guards: true, slow: 1, registered: true,
-		cut: make([]bool, len(w.entries)+1), news: make(chan struct{})}
+	k := &Worker{
+		w: w, index: index, service: service, zone: zone, labels: labels, cpu: cpu, guards: true, slow: 1, registered: true,
+		cut: make([]bool, len(w.entries)+1), news: make(chan struct{}),
+	}
 	for i := range len(w.entries) + 1 {
 		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
@@ -87,7 +89,8 @@
 		}
 		k.listen = append(k.listen, l)
 		k.conns = append(k.conns, map[net.Conn]bool{})
-		s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { k.serve(i, rw, r) }),
+		s := &http.Server{
+			Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { k.serve(i, rw, r) }),
 			ConnState: func(c net.Conn, st http.ConnState) {
 				k.mu.Lock()
 				defer k.mu.Unlock()
@@ -97,7 +100,8 @@
 				case http.StateClosed, http.StateHijacked:
 					delete(k.conns[i], c)
 				}
-			}}
+			},
+		}
 		go func() { _ = s.Serve(l) }()
 	}
 	k.id = fmt.Sprintf("i-%02d-%04x", index, rand.IntN(1<<16))
@@ -133,8 +137,10 @@
 	if k.draining {
 		state = "draining"
 	}
-	m := map[string]any{"service": k.service, "address": k.listen[0].Addr().String(), "zone": k.zone, "version": "v1", "slots": 8, "state": state,
-		"cold_left_ms": 0, "capacity": map[string]int{"cpu": k.cpu, "mem_mb": 65536, "gpu": 0}, "labels": k.labels, "clock_ms": k.clock(), "born": k.born, "sequence": k.sequence}
+	m := map[string]any{
+		"service": k.service, "address": k.listen[0].Addr().String(), "zone": k.zone, "version": "v1", "slots": 8, "state": state,
+		"cold_left_ms": 0, "capacity": map[string]int{"cpu": k.cpu, "mem_mb": 65536, "gpu": 0}, "labels": k.labels, "clock_ms": k.clock(), "born": k.born, "sequence": k.sequence,
+	}
 	if k.draining {
 		m["remaining_ms"] = 2000
 	}
--- a/review/third/standin/world.go
+++ b/review/third/standin/world.go
@@ -296,16 +296,20 @@
 	var routes []map[string]any
 	services := map[string]bool{}
 	for _, q := range w.queues {
-		routes = append(routes, map[string]any{"name": q.name, "host": q.host, "prefix": q.prefix, "kind": "non_idempotent", "timeout_ms": 1500,
-			"target_latency_ms": q.target, "priority": q.priority, "service": q.service, "max_attempts": q.attempts, "stretch": q.stretch})
+		routes = append(routes, map[string]any{
+			"name": q.name, "host": q.host, "prefix": q.prefix, "kind": "non_idempotent", "timeout_ms": 1500,
+			"target_latency_ms": q.target, "priority": q.priority, "service": q.service, "max_attempts": q.attempts, "stretch": q.stretch,
+		})
 		services[q.service] = true
 	}
 	var list []map[string]any
 	for s := range services {
 		list = append(list, map[string]any{"name": s, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": w.guards, "standby": false})
 	}
-	w.store.put("op/config", map[string]any{"version": w.version, "routes": routes, "services": list,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	w.store.put("op/config", map[string]any{
+		"version": w.version, "routes": routes, "services": list,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
 }
 
 // waitReady waits until all machines are ready.
