--- a/review/third/standin/owner.go
+++ b/review/third/standin/owner.go
@@ -12,12 +12,18 @@
 	scenarios["owner"] = scenario{zones: []string{"z-a", "z-a", "z-b", "z-b", "z-c"}, workers: 12, cpu: 16000, queues: oneQueue(), play: func(c *caseRun) error {
 		c.rackByZone()
 		x := c.entries[4]
+		ended := make(chan struct{})
 		if c.plays("stop") {
 			c.check.note("%s gets SIGTERM", x.name)
-			x.stop()
-			c.check.note("%s has ended", x.name)
+			go func() {
+				x.stop()
+				c.check.note("%s has ended", x.name)
+				close(ended)
+			}()
+		} else {
+			close(ended)
 		}
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(1800 * time.Millisecond)
 		var jobs []*job
 		// Clients of z-a keep the workers of z-c busy: one task on each.
 		for range 2 {
@@ -51,6 +57,10 @@
 		if refused > 0 {
 			return fmt.Errorf("%d jobs were refused", refused)
 		}
+		<-ended
+		if c.plays("stop") {
+			time.Sleep(300 * time.Millisecond)
+		}
 		time.Sleep(time.Until(begin.Add(time.Second)))
 		if c.plays("cut") {
 			c.check.note("zone z-b is cut off")
