--- a/review/fourth/trial/site.go
+++ b/review/fourth/trial/site.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	links     map[[2]string]int
 	addresses map[[2]string]string
 	states    map[[2]string]proxier.State
+	// sources holds the IP number from which the links of an end dial.
+	sources map[string]string
 }
 
 func newNetwork() *network {
@@ -40,6 +43,7 @@
 	return &network{
 		commands: json.NewEncoder(toIn), answers: json.NewDecoder(fromOut),
 		links: make(map[[2]string]int), addresses: make(map[[2]string]string), states: make(map[[2]string]proxier.State),
+		sources: make(map[string]string),
 	}
 }
 
@@ -53,13 +57,29 @@
 	}
 	number := len(n.links)
 	n.links[ends] = number
-	check(n.commands.Encode(proxier.Command{Link: number, Source: "127.0.0.1", Target: target}))
+	if n.sources[from] == "" {
+		n.sources[from] = fmt.Sprintf("127.0.1.%d", len(n.sources)+1)
+	}
+	check(n.commands.Encode(proxier.Command{Link: number, Source: n.sources[from], Target: target}))
 	var address string
 	check(n.answers.Decode(&address))
 	n.addresses[ends] = address
 	return address
 }
 
+// sender returns the end behind the address from which a link has dialled.
+func (n *network) sender(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, source := range n.sources {
+		if source == host {
+			return name
+		}
+	}
+	return ""
+}
+
 // set changes the state of the link from one end to another, if there is one.
 func (n *network) set(from, to string, change func(s *proxier.State)) {
 	n.mu.Lock()
@@ -119,8 +139,9 @@
 	idsMu   sync.Mutex
 }
 
-// lastPort is the last port that freeAddress returned.
-var lastPort = 20000
+// lastPort is the last port that freeAddress returned. It is below the ports that the
+// kernel gives to connections.
+var lastPort atomic.Int32
 
 // list returns the names of the entries.
 func (s *site) list() []string {
@@ -150,13 +171,16 @@
 	s.workers[slices.Index(s.workers, old)] = fresh
 }
 
+// firstPort is the port before the first one that freeAddress returns.
+const firstPort = 20000
+
 // freeAddress returns a free address on a loopback IP number of this process, so that plays
 // at the same time do not take each other's ports.
 func freeAddress() string {
 	pid := os.Getpid()
 	for {
-		lastPort++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f, lastPort))
+		port := firstPort + lastPort.Add(1)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f, port))
 		if err == nil {
 			_ = l.Close()
 			return l.Addr().String()
--- a/review/fourth/trial/soak.go
+++ b/review/fourth/trial/soak.go
@@ -202,7 +202,7 @@
 				w.crash()
 			}
 			t.store.removeMatching(func(key string) bool { return key == "servers/"+w.id })
-			t.replaceWorker(w, newWorker(w.id+"b", w.zone, w.cpu, t.store, t.judge))
+			t.replaceWorker(w, newWorker(w.id+"b", w.zone, w.rack, w.cpu, t.store, t.judge))
 		}, seconds(rng, 2.1, 5)
 	}},
 	{"platform_compact", func(t *trial, _ *rand.Rand) (func(), time.Duration) {
@@ -336,7 +336,7 @@
 	id := t.newID()
 	ms := []int{60, 60, 200, 900, 2500}[rng.IntN(5)]
 	steps := []step{{Count: 1 + rng.IntN(3), CPU: 3400, Mem: 64, MS: ms}}
-	if os.Getenv("SOAK_WIDE") != "" {
+	if os.Getenv("SOAK_WIDE") == "1" {
 		steps[0] = step{Count: 20 + rng.IntN(200), CPU: 400, Mem: 16, MS: 40 + rng.IntN(80)}
 	}
 	if rng.IntN(4) == 0 {
--- a/review/fourth/trial/worker.go
+++ b/review/fourth/trial/worker.go
@@ -54,10 +54,12 @@
 // worker is a stand-in for a worker that guards its capacity.
 type worker struct {
 	id, zone string
-	address  string
-	cpu      int
-	store    *store
-	judge    *judge
+	// rack is the label of its rack.
+	rack    string
+	address string
+	cpu     int
+	store   *store
+	judge   *judge
 	// fault returns what happens to the answer of an order: "", "lost" (carried out, not
 	// answered) or "late" (not answered and carried out seconds later).
 	fault func(w *worker, path string) (string, time.Duration)
@@ -81,13 +83,12 @@
 	// lastHold is the last hold with a valid token, which came at heldAt.
 	lastHold order
 	heldAt   time.Time
+	// heldFrom is the address from which it came.
+	heldFrom string
 }
 
-func newWorker(id, zone string, cpu int, s *store, j *judge) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	w := &worker{id: id, zone: zone, address: l.Addr().String(), cpu: cpu, store: s, judge: j}
-	check(l.Close())
+func newWorker(id, zone, rack string, cpu int, s *store, j *judge) *worker {
+	w := &worker{id: id, zone: zone, rack: rack, address: freeAddress(), cpu: cpu, store: s, judge: j}
 	w.start()
 	go w.report()
 	return w
@@ -143,7 +144,7 @@
 	}
 	return map[string]any{
 		"service": "claims", "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", "r-" + w.zone},
+		"capacity": map[string]int{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", w.rack},
 		"sequence": w.sequence, "born": w.born, "clock_ms": w.clock(time.Now()),
 	}
 }
@@ -399,7 +400,7 @@
 func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order, life int) {
 	until := time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
 	w.mu.Lock()
-	if !w.renewAndForget(o) {
+	if w.heldFrom = r.RemoteAddr; !w.renewAndForget(o) {
 		now := w.clock(time.Now())
 		w.mu.Unlock()
 		reply(rw, http.StatusConflict, map[string]any{"clock_ms": now, "reason": "fence"})
