--- a/review/fourth/standin/main.go
+++ b/review/fourth/standin/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -49,6 +51,7 @@
 	j := newJudge(record)
 	s := newSite(j, program, seed)
 	defer s.stop()
+	s.stopOnSignal()
 	defer func() {
 		if p := recover(); p != nil {
 			j.note("could not run: %v", p)
@@ -71,6 +74,17 @@
 	return 0
 }
 
+// stopOnSignal ends what the play has started, and the play, at a signal.
+func (s *site) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		s.stop()
+		os.Exit(2)
+	}()
+}
+
 // copyLogs copies the logs of the entries to a directory.
 func (s *site) copyLogs(to string) {
 	for _, name := range s.names {
--- a/review/fourth/standin/store.go
+++ b/review/fourth/standin/store.go
@@ -186,12 +186,16 @@
 func (s *store) get(client string, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	i, ok := s.items[r.URL.Query().Get("key")]
+	at := s.revision
 	s.mu.Unlock()
 	if !ok {
 		reply(w, http.StatusNotFound, struct{}{})
 		return
 	}
-	reply(w, http.StatusOK, s.show(client, i))
+	reply(w, http.StatusOK, struct {
+		item
+		At int `json:"at"`
+	}{s.show(client, i), at})
 }
 
 func (s *store) list(client string, w http.ResponseWriter, r *http.Request) {
