Test of takeovers while a failure domain is cut off

Cause, as read from the code: the entry that takes over a lost holder's jobs asks the registered entries only. The upstreams of a domain that is cut off count as owned by entries outside, which have never reached them. Those answer after two seconds, or at once when the list lacks the upstreams, that the holder has no runs left there. The owner inside retains the ends of these runs and goes on renewing the lease for its own ones, so the ends hold.

Ruled out: the planned stop.

The stand-in cluster of lib/keeper gets failure domains and upstreams that its entries may not reach. An entry that is isolated does not reach the store either, as its comment said.

--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -54,6 +54,12 @@
 	isolated map[string]bool
 	// cut holds the pairs of entries, in order of their names, that cannot reach each other.
 	cut map[[2]string]bool
+	// domains holds the failure domains of entries by name, and cutOff the one that is cut off
+	// from the others and from the store; "" stands for none.
+	domains map[string]string
+	cutOff  string
+	// listed are the upstreams that the store lists; nil means all.
+	listed []runner.Upstream
 	// registered holds the incarnations of the registered entries, which own the
 	// upstreams, by name.
 	registered map[string]string
@@ -76,6 +82,8 @@
 	holder      string
 	// view is the one from which the upstreams of the entry were computed.
 	view divider.View
+	// cutAt is when the entry was cut off from the store for the last time.
+	cutAt time.Time
 	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
 	// changed records.
 	losesReleases, losesNotices atomic.Bool
@@ -119,8 +127,8 @@
 	if old != nil {
 		old.cancel()
 	}
-	n.Coordinator = &coordinator.Coordinator{Self: name, PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
-	n.runner = &runner.Runner{Client: c.fleet, Ended: n.sendEnd, Changed: n.publishState, Log: nopLog}
+	n.Coordinator = &coordinator.Coordinator{Self: name, Domain: c.domains[name], PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
+	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, Log: nopLog}
 	n.Local = localRunner{n.runner, n}
 	link := &storeLink{c.store, n}
 	commits := &committer.Committer{Store: link, Interval: func() time.Duration { return c.interval }, Log: nopLog}
@@ -256,7 +264,7 @@
 func (c *cluster) isIsolated(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isolated[name]
+	return c.isolated[name] || c.isCutOff(c.domains[name])
 }
 
 // incarnationOf returns the incarnation of a running entry, or "" if it is not
@@ -288,17 +296,20 @@
 	token := c.token
 	var members []divider.Member
 	for name := range c.registered {
-		members = append(members, divider.Member{Name: name})
+		members = append(members, divider.Member{Name: name, Domain: c.domains[name]})
 	}
-	view := divider.NewView(c.registered)
+	view, list := divider.NewView(c.registered), c.listed
 	c.mu.Unlock()
+	if list == nil {
+		list = c.fleet.List()
+	}
 	for _, n := range c.alive() {
 		if c.isIsolated(n.name) {
 			continue
 		}
 		var own []runner.Upstream
-		for _, u := range c.fleet.List() {
-			if owner, ok := divider.Owner(u.Name, "", members); ok && owner == n.name {
+		for _, u := range list {
+			if owner, ok := divider.Owner(u.Name, u.Domain, members); ok && owner == n.name {
 				own = append(own, u)
 			}
 		}
@@ -327,7 +338,7 @@
 	c := n.cluster
 	c.mu.Lock()
 	p := c.nodes[peer]
-	cut := c.isolated[n.name] || c.isolated[peer] || c.cut[pairOf(n.name, peer)]
+	cut := c.isolated[n.name] || c.isolated[peer] || c.cut[pairOf(n.name, peer)] || c.isCutOff(c.domains[n.name]) != c.isCutOff(c.domains[peer])
 	c.mu.Unlock()
 	if p == nil || cut {
 		return false
@@ -656,7 +667,7 @@
 // wait waits until a call of an entry that is cut off has failed, and reports whether the
 // entry is.
 func (l *storeLink) wait(ctx context.Context) bool {
-	if !l.node.parted.Load() {
+	if !l.node.parted.Load() && !l.node.cluster.isIsolated(l.node.name) {
 		return false
 	}
 	<-ctx.Done()
