Take over the jobs of a lost holder only once no former owner serves its upstreams

Cause: the new owner of an upstream that it cannot reach said after two seconds, or at once when the list lacked the upstream, that a lost holder has nothing left there. The owner on the other side of the cut retains the ends of the holder's runs and goes on renewing the lease for runs of its own domain, so these ends hold. Nobody on either side bounded for how long.

Change: both sides follow deadlines of lib/relinquisher. An entry whose registration lapsed goes on for 6 s; then it refuses kept jobs' runs and lets the lease expire once on each upstream that has runs of kept jobs or lists their ends, which voids these. Others wait for an upstream that they have not reached until it answers, its owner registers again or restarts, or 9.21 s have passed since the owner left. The wait covers upstreams that vanished from the list, and every entry that has just started waits for those that may have left before. Before the records are written, the registrations are read from the store: an entry that registered again has renewed its leases all the while. Ends that an upstream listed before its owner gave it up are told to the entry that takes the job over.

Ruled out: the planned stop as the cause, as the same tests fail with a kill; letting the lease of one task lapse, as the upstream has one for all; letting it lapse at once, which would end the cut-off domain's own runs in every short cut.

A job whose upstreams never return runs again within 14 s (TestTakeoverWhileDomainStaysCutOff).

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -30,6 +30,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"radishweir.org/lib/platform"
+	"radishweir.org/lib/relinquisher"
 	"radishweir.org/lib/retainer"
 	"radishweir.org/lib/watcher"
 	"radishweir.org/lib/wire"
@@ -38,7 +39,7 @@
 const (
 	// leaseSeconds is the time to live of a registration's lease. It bounds how long
 	// the upstreams of a failed entry stay idle.
-	leaseSeconds = 2
+	leaseSeconds = int64(relinquisher.RegistrationTTL / time.Second)
 	// renewInterval is the pause between renewals. It leaves time for two attempts
 	// within a lease.
 	renewInterval = 600 * time.Millisecond
@@ -116,7 +117,7 @@
 		alive, err := e.Store.KeepAlive(ctx, lease)
 		e.logRenewal(err)
 		if err == nil && alive {
-			e.registration.extend(requested+leaseSeconds*time.Second, e.registrationLapsed)
+			e.registration.extend(requested+relinquisher.RegistrationTTL, e.registrationLapsed)
 		}
 		if err != nil || alive {
 			return
@@ -159,7 +160,7 @@
 	e.mu.Lock()
 	e.lease, e.missing = lease, false
 	e.mu.Unlock()
-	e.registration.extend(requested+leaseSeconds*time.Second, e.registrationLapsed)
+	e.registration.extend(requested+relinquisher.RegistrationTTL, e.registrationLapsed)
 	e.Log.Info().Str("incarnation", e.Self.GetIncarnation()).Msg("registered")
 	return nil
 }
@@ -178,6 +179,29 @@
 // not count on this one any more.
 func (e *Enroller) HoldsRegistration() bool { return e.registration.lasts() }
 
+// LapsedAt returns the time from which on the registration may not be in the store any more, as it
+// was not renewed; zero while it is, or before the first one.
+func (e *Enroller) LapsedAt() time.Time { return e.registration.lapsedAt() }
+
+// ReadMembers reads the incarnations of the registered entries by name from the store.
+func (e *Enroller) ReadMembers(ctx context.Context) (map[string]string, error) {
+	s, err := e.Store.List(ctx, platform.EntryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]string)
+	for _, kv := range s.KeyValues {
+		name := strings.TrimPrefix(kv.Key, platform.EntryPrefix)
+		registration := &wire.Registration{}
+		if strings.Contains(name, holderSeparator) || (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(kv.Value, registration) != nil {
+			// Apply logs those that are unreadable.
+			continue
+		}
+		out[name] = registration.GetIncarnation()
+	}
+	return out, nil
+}
+
 // StopRenewing stops renewing the registration. It must be called before
 // Deregister.
 func (e *Enroller) StopRenewing() { e.stopped.Store(true) }
--- a/lib/enroller/lease_term.go
+++ b/lib/enroller/lease_term.go
@@ -14,6 +14,8 @@
 	mu sync.Mutex
 	// until is the time since boot from which on the lease may have ended.
 	until time.Duration
+	// last is the latest value of until that was set by extend.
+	last  time.Duration
 	timer *time.Timer
 }
 
@@ -35,7 +37,7 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
-	t.until = until
+	t.until, t.last = until, until
 	var timer *time.Timer
 	timer = time.AfterFunc(until-sinceBoot(), func() {
 		t.mu.Lock()
@@ -62,6 +64,18 @@
 	t.until = 0
 }
 
+// lapsedAt returns the time from which on the lease may have ended; zero while it lasts, or if there
+// was none.
+func (t *leaseTerm) lapsedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := sinceBoot()
+	if t.last == 0 || now < t.until {
+		return time.Time{}
+	}
+	return time.Now().Add(t.last - now)
+}
+
 // lasts reports whether the lease certainly has not ended.
 func (t *leaseTerm) lasts() bool {
 	t.mu.Lock()
--- a/lib/keeper/claims.go
+++ b/lib/keeper/claims.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"time"
 
 	"radishweir.org/lib/divider"
@@ -30,6 +31,21 @@
 	return a.incarnation == incarnation && (a.view == view || a.view == 0)
 }
 
+// claimsSettled sends the claims that are due and reports whether the answers cover all upstreams,
+// also by the registrations as the store has them now: an entry that has registered since may have
+// served its upstreams all the while.
+func (k *Keeper) claimsSettled(ctx context.Context, holder string) bool {
+	if !k.sendClaims(holder) {
+		return false
+	}
+	confirmed, err := k.Peers.Confirm(ctx)
+	if err != nil {
+		k.Log.Info().Str("holder", holder).Err(err).Msg("members_not_confirmed")
+	}
+	// The registrations may have changed during the read.
+	return confirmed && k.sendClaims(holder)
+}
+
 // sendClaims sends the claim on a holder to every registered entry that has not got it
 // yet, or has answered it before the owners of the upstreams changed. It reports whether
 // the answers of all registered entries cover all upstreams.
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -15,11 +15,13 @@
 	"github.com/rs/zerolog"
 
 	"radishweir.org/lib/committer"
+	"radishweir.org/lib/confirmer"
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/divider"
 	"radishweir.org/lib/keeper"
 	"radishweir.org/lib/packer"
 	"radishweir.org/lib/platform"
+	"radishweir.org/lib/relinquisher"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/simulator"
 	"radishweir.org/lib/wire"
@@ -47,7 +49,9 @@
 	fleet *simulator.Fleet
 	store *store
 
-	mu sync.Mutex
+	// assignMu serializes assignUpstreams.
+	assignMu sync.Mutex
+	mu       sync.Mutex
 	// nodes holds the running entries by name, isolated those that are cut off from the
 	// others and from the store.
 	nodes    map[string]*node
@@ -58,6 +62,8 @@
 	// from the others and from the store; "" stands for none.
 	domains map[string]string
 	cutOff  string
+	// cutAt is when cutOff was cut off.
+	cutAt time.Time
 	// listed are the upstreams that the store lists; nil means all.
 	listed []runner.Upstream
 	// registered holds the incarnations of the registered entries, which own the
@@ -81,7 +87,10 @@
 	cancel      context.CancelFunc
 	holder      string
 	// view is the one from which the upstreams of the entry were computed.
-	view divider.View
+	view       divider.View
+	departures relinquisher.Ledger
+	vanished   relinquisher.Vanished
+	confirmer  *confirmer.Confirmer
 	// cutAt is when the entry was cut off from the store for the last time.
 	cutAt time.Time
 	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
@@ -128,7 +137,8 @@
 		old.cancel()
 	}
 	n.Coordinator = &coordinator.Coordinator{Self: name, Domain: c.domains[name], PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
-	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, Log: nopLog}
+	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, RenewableUntil: n.renewableUntil, SettledAt: n.departures.SettledAt, MembersConfirmedSince: func(at time.Time) bool { return n.confirmer.ConfirmedSince(n.ctx, at) }, Log: nopLog}
+	n.confirmer = &confirmer.Confirmer{Read: n.readView, Known: n.knownView, Confirmed: n.runner.ReviewExpired, Log: nopLog}
 	n.Local = localRunner{n.runner, n}
 	link := &storeLink{c.store, n}
 	commits := &committer.Committer{Store: link, Interval: func() time.Duration { return c.interval }, Log: nopLog}
@@ -291,6 +301,8 @@
 
 // assignUpstreams assigns each upstream to one registered entry.
 func (c *cluster) assignUpstreams() {
+	c.assignMu.Lock()
+	defer c.assignMu.Unlock()
 	c.mu.Lock()
 	c.token++
 	token := c.token
@@ -298,7 +310,7 @@
 	for name := range c.registered {
 		members = append(members, divider.Member{Name: name, Domain: c.domains[name]})
 	}
-	view, list := divider.NewView(c.registered), c.listed
+	view, list, incarnations := divider.NewView(c.registered), c.listed, maps.Clone(c.registered)
 	c.mu.Unlock()
 	if list == nil {
 		list = c.fleet.List()
@@ -313,7 +325,13 @@
 				own = append(own, u)
 			}
 		}
+		n.departures.Apply(time.Now(), incarnations)
+		vanished := slices.DeleteFunc(n.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
+			owner, ok := divider.Owner(u.Name, u.Domain, members)
+			return !ok || owner != n.name
+		})
 		n.runner.SetOwned(n.ctx, token, own)
+		n.runner.SetUnlisted(vanished)
 		c.mu.Lock()
 		n.view = view
 		c.mu.Unlock()
@@ -415,6 +433,24 @@
 	return maps.Clone(n.cluster.registered)
 }
 
+// Confirm implements keeper.Peers.
+func (n *node) Confirm(ctx context.Context) (bool, error) { return n.confirmer.Confirm(ctx) }
+
+// readView reads the registered entries from the store.
+func (n *node) readView(ctx context.Context) (divider.View, error) {
+	if _, err := (&storeLink{n.cluster.store, n}).Get(ctx, ""); err != nil {
+		return 0, err
+	}
+	return divider.NewView(n.Incarnations()), nil
+}
+
+// knownView returns the view from which the upstreams of the entry were computed.
+func (n *node) knownView() divider.View {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	return n.view
+}
+
 // Claim implements keeper.Peers.
 func (n *node) Claim(peer, holder string) {
 	incarnation := n.Incarnations()[peer]
--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -10,6 +10,7 @@
 
 	"radishweir.org/lib/coordinator"
 	"radishweir.org/lib/packer"
+	"radishweir.org/lib/relinquisher"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
 )
@@ -23,38 +24,39 @@
 	node *node
 }
 
-// reaches returns an error once ctx ends if the upstream is out of reach.
-func (l upstreamLink) reaches(ctx context.Context, u runner.Upstream) error {
-	c := l.node.cluster
-	c.mu.Lock()
-	cut := c.isCutOff(c.domains[l.node.name]) != c.isCutOff(u.Domain)
-	c.mu.Unlock()
-	if cut {
+// call makes a call unless the upstream is out of reach. If it is, also when the answer comes, the
+// call fails as ctx ends.
+func (l upstreamLink) call(ctx context.Context, u runner.Upstream, do func() (runner.Report, error)) (runner.Report, error) {
+	if l.isCut(u) {
+		<-ctx.Done()
+		return runner.Report{}, ctx.Err()
+	}
+	report, err := do()
+	if l.isCut(u) {
 		<-ctx.Done()
-		return ctx.Err()
+		return runner.Report{}, ctx.Err()
 	}
-	return nil
+	return report, err
+}
+
+// isCut reports whether the upstream is out of reach.
+func (l upstreamLink) isCut(u runner.Upstream) bool {
+	c := l.node.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isCutOff(c.domains[l.node.name]) != c.isCutOff(u.Domain)
 }
 
 func (l upstreamLink) Start(ctx context.Context, u runner.Upstream, o runner.Order) (runner.Report, error) {
-	if err := l.reaches(ctx, u); err != nil {
-		return runner.Report{}, err
-	}
-	return l.Client.Start(ctx, u, o)
+	return l.call(ctx, u, func() (runner.Report, error) { return l.Client.Start(ctx, u, o) })
 }
 
 func (l upstreamLink) Stop(ctx context.Context, u runner.Upstream, o runner.Order) (runner.Report, error) {
-	if err := l.reaches(ctx, u); err != nil {
-		return runner.Report{}, err
-	}
-	return l.Client.Stop(ctx, u, o)
+	return l.call(ctx, u, func() (runner.Report, error) { return l.Client.Stop(ctx, u, o) })
 }
 
 func (l upstreamLink) Poll(ctx context.Context, u runner.Upstream, p runner.Poll) (runner.Report, error) {
-	if err := l.reaches(ctx, u); err != nil {
-		return runner.Report{}, err
-	}
-	return l.Client.Poll(ctx, u, p)
+	return l.call(ctx, u, func() (runner.Report, error) { return l.Client.Poll(ctx, u, p) })
 }
 
 // isCutOff reports whether a failure domain is cut off from the others and from the store; the
@@ -73,16 +75,32 @@
 	return c.registered[n.name] == n.incarnation
 }
 
+// renewableUntil returns the time up to which the entry may renew leases after its registration
+// lapsed; zero while it is registered.
+func (n *node) renewableUntil() time.Time {
+	if n.isRegistered() || !n.cluster.isIsolated(n.name) {
+		return time.Time{}
+	}
+	return relinquisher.Deadline(n.cutAt.Add(registrationTTL))
+}
+
 // newDividedCluster starts a cluster with one entry in each of the given failure domains, in
-// order of the entries' names, and one upstream in each of the others.
+// order of the entries' names, and one upstream in each of the others. A domain with a question mark
+// is that of an entry which is started later.
 func newDividedCluster(t *testing.T, seed uint64, entries, upstreams []string) *cluster {
 	c := newCluster(t, seed, 0, 0)
 	c.domains = make(map[string]string)
-	c.fleet.SetKept(func(task string) bool { return !strings.HasPrefix(task, backgroundPrefix) })
-	c.addUpstreams(upstreams...)
+	var started []string
 	for i, domain := range entries {
 		name := fmt.Sprintf("entry-%d", i+1)
-		c.domains[name] = domain
+		domain, later := strings.CutSuffix(domain, "?")
+		if c.domains[name] = domain; !later {
+			started = append(started, name)
+		}
+	}
+	c.fleet.SetKept(func(task string) bool { return !background(task) })
+	c.addUpstreams(upstreams...)
+	for _, name := range started {
 		c.start(name)
 	}
 	time.Sleep(time.Second)
@@ -136,7 +154,7 @@
 // the store. The registrations of its entries and its upstreams expire.
 func (c *cluster) cutDomain(domain string) {
 	c.mu.Lock()
-	c.cutOff = domain
+	c.cutOff, c.cutAt = domain, time.Now()
 	c.mu.Unlock()
 	c.eachAcross(func(n, peer *node) {
 		n.PeerDown(peer.name)
@@ -147,9 +165,15 @@
 		if c.domains[n.name] != domain {
 			continue
 		}
+		c.mu.Lock()
 		n.cutAt = time.Now()
+		c.mu.Unlock()
 		time.AfterFunc(registrationTTL, func() { c.lapse(n) })
-		time.AfterFunc(holderTTL, func() { c.loseHolder(n) })
+		time.AfterFunc(holderTTL, func() {
+			if c.isIsolated(n.name) && n.ctx.Err() == nil {
+				c.loseHolder(n)
+			}
+		})
 	}
 	time.AfterFunc(3*1500*time.Millisecond, func() {
 		if c.isDomainCut(domain) {
@@ -198,11 +222,8 @@
 	c.triggerReviews()
 }
 
-// loseHolder ends the lease of the holder of an entry that is cut off.
+// loseHolder ends the lease of an entry's holder, which the entry notices.
 func (c *cluster) loseHolder(n *node) {
-	if !c.isIsolated(n.name) || n.ctx.Err() != nil {
-		return
-	}
 	c.mu.Lock()
 	delete(c.holders, n.holder)
 	n.holder = ""
@@ -237,6 +258,14 @@
 		}
 	}
 	c.assignUpstreams()
+	for _, n := range nodes {
+		c.mu.Lock()
+		removed := n.holder != "" && !c.holders[n.holder]
+		c.mu.Unlock()
+		if removed {
+			c.loseHolder(n)
+		}
+	}
 	c.triggerReviews()
 }
 
@@ -258,42 +287,148 @@
 	c.triggerReviews()
 }
 
+// background reports whether a task is one of keepBusy.
+func background(task string) bool { return strings.HasPrefix(task, backgroundPrefix) }
+
+// cutWithJob starts a divided cluster, cuts domain a off while the four tasks of a job are at work
+// there that entry-1 of domain b holds, and adds upstreams in domain c. The tasks end as done after
+// 1.5 s, while other runs keep the leases in domain a alive.
+func cutWithJob(t *testing.T, ctx context.Context) *cluster {
+	c := newDividedCluster(t, 61, []string{"b", "a", "c", "c"}, []string{"a", "a", "a"})
+	go c.keepBusy(ctx, "a")
+	c.fleet.SetRunTime(func(task string) time.Duration {
+		if background(task) {
+			return 100 * time.Millisecond
+		}
+		return 4 * time.Second
+	})
+	if s := c.alive()[0].submit("a", 4); s != coordinator.Accepted {
+		t.Fatalf("submitted job: state %v, want accepted", s)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if n := len(slices.DeleteFunc(c.fleet.RunningTasks(), background)); n != 4 {
+		t.Fatalf("%d tasks at work as the cut begins, want 4", n)
+	}
+	c.addUpstreams("c", "c", "c")
+	c.cutDomain("a")
+	return c
+}
+
+// removals are the ways in which entry-1, which holds the job of cutWithJob, leaves.
+var removals = map[string]func(c *cluster){
+	"stopped as planned": func(c *cluster) { c.stopAsPlanned("entry-1") },
+	"killed and restarted": func(c *cluster) {
+		c.kill("entry-1")
+		time.Sleep(700 * time.Millisecond)
+		c.start("entry-1")
+	},
+	"killed beside a planned stop": func(c *cluster) {
+		c.stopAsPlanned("entry-3")
+		c.kill("entry-1")
+		time.Sleep(700 * time.Millisecond)
+		c.start("entry-1")
+	},
+	"two planned stops": func(c *cluster) {
+		c.stopAsPlanned("entry-1")
+		c.stopAsPlanned("entry-4")
+	},
+}
+
 // Guards against TWICE: tasks end as done in a failure domain that is cut off and whose leases go
 // on, while the entry outside that holds their job is gone and the job is taken over.
 func TestTakeoverWhileDomainIsCutOff(t *testing.T) {
-	for name, remove := range map[string]func(c *cluster){
-		"stopped as planned": func(c *cluster) { c.stopAsPlanned("entry-1") },
-		"killed and restarted": func(c *cluster) {
-			c.kill("entry-1")
-			time.Sleep(700 * time.Millisecond)
-			c.start("entry-1")
+	disturbances := map[string]func(c *cluster){
+		"":                         func(*cluster) {},
+		", an upstream crashes":    func(c *cluster) { c.fleet.Crash("u01") },
+		", an upstream is removed": func(c *cluster) { c.fleet.Remove("u01") },
+		", the store is down": func(c *cluster) {
+			c.store.setDown(true)
+			time.AfterFunc(2*time.Second, func() { c.store.setDown(false) })
 		},
-	} {
+	}
+	for name, remove := range removals {
+		for also, disturb := range disturbances {
+			t.Run(name+also, func(t *testing.T) {
+				withFakeTime(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					c := cutWithJob(t, ctx)
+					defer c.stop()
+					time.Sleep(1800 * time.Millisecond)
+					remove(c)
+					disturb(c)
+					time.Sleep(time.Until(c.cutAt.Add(6200 * time.Millisecond)))
+					c.healDomain()
+					c.checkJobs([]string{"a"}, nil, 30*time.Second)
+					if n := c.fleet.Starts("a.0.0.0"); n > 1 && also == "" {
+						t.Errorf("a task that was done was started %d times, want once", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against LOST: a task waits for ever for an upstream that never returns. A job has to have
+// something running 14 s after the last disturbance. Also guards against TWICE if the upstreams
+// return after that: the ends that they list are void, as their leases have expired meanwhile.
+func TestTakeoverWhileDomainStaysCutOff(t *testing.T) {
+	for name, remove := range removals {
+		for _, returns := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, returns: %v", name, returns), func(t *testing.T) {
+				withFakeTime(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					c := cutWithJob(t, ctx)
+					defer c.stop()
+					time.Sleep(1800 * time.Millisecond)
+					remove(c)
+					time.Sleep(14 * time.Second)
+					if n := c.fleet.Starts("a.0.0.0"); n != 2 {
+						t.Errorf("the task was started %d times 14 s after its holder was lost, want twice", n)
+					}
+					if returns {
+						c.healDomain()
+					}
+					c.checkJobs([]string{"a"}, nil, 30*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// Guards against TWICE: the key of a holder that is cut off with its upstreams is removed before its
+// lease has ended, and others take over the jobs that it goes on running.
+func TestTakeoverFromHolderThatIsCutOff(t *testing.T) {
+	for name, length := range map[string]time.Duration{"short cut": 6200 * time.Millisecond, "long cut": 16 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			withFakeTime(t, func(t *testing.T) {
-				c := newDividedCluster(t, 61, []string{"b", "a", "c"}, []string{"a", "a", "a"})
-				defer c.stop()
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				c := newDividedCluster(t, 62, []string{"a", "a", "c", "c"}, []string{"a", "a", "a"})
+				defer c.stop()
 				go c.keepBusy(ctx, "a")
 				c.fleet.SetRunTime(func(task string) time.Duration {
-					if strings.HasPrefix(task, backgroundPrefix) {
+					if background(task) {
 						return 100 * time.Millisecond
 					}
-					return 4 * time.Second
+					return 5 * time.Second
 				})
-				if s := c.alive()[0].submit("a", 4); s != coordinator.Accepted {
+				n := c.alive()[0]
+				if s := n.submit("a", 4); s != coordinator.Accepted {
 					t.Fatalf("submitted job: state %v, want accepted", s)
 				}
-				time.Sleep(2500 * time.Millisecond)
-				if n := len(slices.DeleteFunc(c.fleet.RunningTasks(), func(task string) bool { return strings.HasPrefix(task, backgroundPrefix) })); n != 4 {
-					t.Fatalf("%d tasks at work as the cut begins, want 4", n)
-				}
+				time.Sleep(500 * time.Millisecond)
 				c.addUpstreams("c", "c", "c")
 				c.cutDomain("a")
-				time.Sleep(1800 * time.Millisecond)
-				remove(c)
-				time.Sleep(4400 * time.Millisecond)
+				c.mu.Lock()
+				delete(c.holders, n.holder)
+				delete(c.registered, "entry-1")
+				delete(c.registered, "entry-2")
+				c.mu.Unlock()
+				c.assignUpstreams()
+				c.triggerReviews()
+				time.Sleep(length)
 				c.healDomain()
 				c.checkJobs([]string{"a"}, nil, 30*time.Second)
 			})
--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -12,7 +12,8 @@
 // When a holder is gone, one of the registered entries takes over its open jobs.
 // That entry first asks every entry to stop the holder's runs and to report the
 // ends that its upstreams still list, and then writes its own holder into the
-// records. Every write is conditional on the revision last read, so if two
+// records. Entries that own an upstream which they cannot reach answer once package
+// relinquisher says that no former owner serves it. Every write is conditional on the revision last read, so if two
 // entries act on the same job, one write fails and that entry abandons the job.
 //
 // # Usage
@@ -103,6 +104,9 @@
 	// Incarnations returns the incarnations of the registered entries by name,
 	// this entry included.
 	Incarnations() map[string]string
+	// Confirm reads the registered entries from the store and reports whether Incarnations returns
+	// the same.
+	Confirm(ctx context.Context) (bool, error)
 	// Claim asks an entry to stop the runs of a holder and to report their ends that
 	// its upstreams still list. ClaimAnswered is called when the entry has answered.
 	Claim(peer, holder string)
--- a/lib/keeper/keeper_test.go
+++ b/lib/keeper/keeper_test.go
@@ -66,7 +66,7 @@
 	open := slices.Clone(accepted)
 	for len(open) > 0 && time.Now().Before(deadline) {
 		time.Sleep(200 * time.Millisecond)
-		nodes := c.alive()
+		nodes := slices.DeleteFunc(c.alive(), func(n *node) bool { return c.isIsolated(n.name) })
 		open = slices.DeleteFunc(open, func(id string) bool {
 			state, err := nodes[len(lastStates)%len(nodes)].keeper.State(c.t.Context(), id)
 			lastStates[id] = fmt.Sprintf("%s %v", state, err)
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -181,7 +181,7 @@
 		}
 		k.Log.Info().Str("holder", holder).Msg("takeover_begun")
 		started := time.Now()
-		for ctx.Err() == nil && !k.sendClaims(holder) {
+		for ctx.Err() == nil && !k.claimsSettled(ctx, holder) {
 			pause(ctx, claimInterval)
 		}
 		pause(ctx, time.Until(started.Add(holderStopGrace)))
--- a/lib/recorder/recorder.go
+++ b/lib/recorder/recorder.go
@@ -43,6 +43,8 @@
 	runs               *prometheus.CounterVec
 	wastedCoreSeconds  *prometheus.CounterVec
 	takeovers          prometheus.Counter
+	relinquished       prometheus.Counter
+	retirements        *prometheus.CounterVec
 	delegations        *prometheus.CounterVec
 	suppressedLogLines *prometheus.CounterVec
 	droppedRequests    *prometheus.CounterVec
@@ -82,6 +84,10 @@
 		takeovers: f.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "upstream_takeovers_total", Help: "Upstreams that this entry became the owner of.",
 		}),
+		relinquished: f.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "leases_relinquished_total", Help: "Leases of upstreams that this entry let expire, as it was not registered.",
+		}),
+		retirements:        counter("holder_retirements_total", "Lost holders whose runs are over on this entry's upstreams, by whether all of these answered.", "upstreams"),
 		delegations:        counter("delegations_total", "Jobs handed to other entries, by step.", "result"),
 		droppedRequests:    counter("dropped_requests_total", "Requests that arrived and got no answer, by state of their connection.", "state"),
 		limitedCallers:     counter("limited_callers_total", "Connections that were closed and requests that were refused because of a limit, by limit.", "reason"),
@@ -129,6 +135,15 @@
 // Takeover counts one upstream that this entry became the owner of.
 func (r *Recorder) Takeover() { r.takeovers.Inc() }
 
+// LeaseRelinquished counts one lease that this entry let expire, as it was not registered.
+func (r *Recorder) LeaseRelinquished() { r.relinquished.Inc() }
+
+// HolderRetired counts one lost holder whose runs are over; concluded tells whether upstreams that
+// did not answer count as having none.
+func (r *Recorder) HolderRetired(concluded bool) {
+	r.retirements.WithLabelValues(choose(concluded, "silent", "answered")).Inc()
+}
+
 // Delegation counts one step of handing a job to another entry.
 func (r *Recorder) Delegation(result string) { r.delegations.WithLabelValues(result).Inc() }
 
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -127,6 +127,14 @@
 	// synced is true once the upstream has reported its runs to this owner.
 	synced   bool
 	released bool
+	// releasedAt is when the ownership ended.
+	releasedAt time.Time
+	// reached is true once the upstream was synced, so that it refuses all former owners.
+	reached bool
+	// relinquishing is true while the lease is left to expire, as this entry is not registered.
+	relinquishing bool
+	// relinquished is true once it has expired for that reason, until this entry is registered again.
+	relinquished bool
 	// resolving is true while resolveRuns is active.
 	resolving bool
 	// incarnation is the one that the runs, ends and clock above belong to. It follows
@@ -202,7 +210,7 @@
 // release ends the ownership. Runs continue under the next owner.
 func (h *ownedUpstream) release() {
 	h.mu.Lock()
-	h.released = true
+	h.released, h.releasedAt = true, time.Now()
 	for _, r := range h.runs {
 		r.withdraw()
 	}
@@ -234,7 +242,7 @@
 // usable reports whether new runs may be started; the caller holds the lock.
 func (h *ownedUpstream) usable(now time.Time) bool {
 	switch {
-	case !h.synced || h.released || h.upstream.Leaving || !h.unverifiedSince.IsZero():
+	case !h.synced || h.released || h.relinquishes(now) || h.upstream.Leaving || !h.unverifiedSince.IsZero():
 		return false
 	case h.unresponsive(now) || !h.admits(now, h.runs):
 		return false
--- a/lib/runner/poller.go
+++ b/lib/runner/poller.go
@@ -243,7 +243,7 @@
 	now := time.Now()
 	if !h.unresponsive(now) {
 		limit := h.leaseLimit(now)
-		if !h.stopsOverdue(now) {
+		if !h.stopsOverdue(now) && !h.relinquishes(now) {
 			p.Expires = h.extendLease(limit, now)
 		}
 		p.Wait = h.pollWait(limit, now)
--- a/lib/runner/publication.go
+++ b/lib/runner/publication.go
@@ -106,6 +106,9 @@
 	if h.isSilent() {
 		consider(h.unansweredSince.Add(silenceLimit))
 	}
+	if h.relinquishing {
+		consider(h.leaseEnd.Add(time.Millisecond))
+	}
 	for _, r := range h.runs {
 		if r.stopping && r.stoppedAt.IsZero() {
 			consider(r.stopDeadline)
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -29,11 +29,7 @@
 			// The polling loop finds out soon whether the upstream answers again.
 			h.signal()
 		}
-		// Before the first answer to a poll, the former owner may still be renewing
-		// the lease.
-		if h.synced && h.unresponsive(now) && now.After(h.leaseEnd) {
-			h.endExpired(now)
-		}
+		h.reviewExpired(now)
 	default:
 		h.recordRefusal(why, now)
 	}
@@ -65,7 +61,9 @@
 // caller holds the lock. A requester that asks for its run again and again does not delay the
 // ends of others.
 func (h *ownedUpstream) endExpired(now time.Time) {
-	h.endAsLost("silent until its lease ended", func(r *run) bool { return now.After(r.leaseEnd) })
+	h.endAsLost("silent until its lease ended", func(r *run) bool {
+		return now.After(r.leaseEnd)
+	})
 }
 
 // endAsLost ends the matching runs as lost; the caller holds the lock.
@@ -219,7 +217,7 @@
 		}
 	}
 	if acquired {
-		h.synced = true
+		h.synced, h.reached = true, true
 		// Until this poll, another owner may have renewed the lease.
 		h.recordRenewal(now)
 		for k, r := range h.runs {
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -219,12 +219,13 @@
 // stopHolder stops the runs of a dead holder, which was retired at the given time, and
 // reports whether none is left. It also waits for orphaned runs, which may be the
 // holder's. After a release it waits for the end of their lease, as the upstream may be given
-// up because its registration is missing, and get no other owner.
+// up because its registration is missing, and get no other owner. One that this owner has not
+// reached may have runs, or list ends, of which only a former owner knows.
 func (h *ownedUpstream) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
 	h.mu.Lock()
 	defer h.unlock()
-	if !h.synced && !h.released {
-		return time.Since(latest(h.acquiredAt, retiredAt)) > leasesExpiredAfter
+	if !h.synced && (!h.released || !h.reached) {
+		return h.isUnreachedSettled(retiredAt, time.Now())
 	}
 	left := false
 	for k, r := range h.runs {
@@ -325,11 +326,11 @@
 	r.retiredMu.Unlock()
 	r.RetainOrphanedEnds()
 	go func() {
-		for ctx.Err() == nil && !r.stopHolder(ctx, holder, retiredAt) {
-			pause(ctx, resolveInterval)
-		}
-		for _, h := range r.ownedUpstreams() {
-			h.resendEnds(func(e retainedEnd) bool { return e.holder == holder || e.holder == "" }, adopter)
+		r.awaitRetirement(ctx, holder, retiredAt)
+		for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
+			h.resendEnds(func(e retainedEnd) bool {
+				return (e.holder == holder || e.holder == "") && (e.cause == wire.RunEnd_done || !h.isReleased())
+			}, adopter)
 		}
 		done()
 	}()
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -113,6 +113,12 @@
 	RunEnded(cause string, wasted float64)
 	// Takeover records that this entry became the owner of an upstream.
 	Takeover()
+	// LeaseRelinquished records that this entry lets the lease of an upstream expire, as it is not
+	// registered.
+	LeaseRelinquished()
+	// HolderRetired records that the runs of a lost holder are over, and whether that was concluded
+	// for an upstream that did not answer.
+	HolderRetired(concluded bool)
 }
 
 // Runner owns upstreams. Exported fields are set before the first call.
@@ -131,6 +137,18 @@
 	// Registered reports whether this entry certainly is registered; nil means that it always
 	// is. Entries that take over a kept job ask the registered entries only to stop its runs.
 	Registered func() bool
+	// MembersConfirmedSince reports whether the store has shown since the given time that the
+	// upstreams given to SetOwned still are those of this entry, and finds that out if not. Only then
+	// the silence of an upstream until the end of its lease means that a kept job's run is over:
+	// another owner may have renewed the lease. nil means that this entry always is the owner.
+	MembersConfirmedSince func(at time.Time) bool
+	// SettledAt returns the time from which on no former owner that is not registered renews the
+	// lease of an upstream that this entry owns since the given time; nil means that none ever does.
+	SettledAt func(acquiredAt time.Time) time.Time
+	// RenewableUntil returns the time up to which this entry may renew the leases of upstreams that
+	// list ends of kept jobs, as its registration lapsed; zero while it is registered. nil means
+	// that it always is.
+	RenewableUntil func() time.Time
 	// HolderListed reports whether a holder was in the store when this entry last read it. Runs
 	// for others do not start: another entry takes over their jobs, and may have asked an earlier
 	// process of this entry to refuse them. nil means that all holders are listed.
@@ -153,8 +171,8 @@
 
 	mu    sync.RWMutex
 	owned map[string]*ownedUpstream
-	// released holds the upstreams that this entry gave up and where leases may last, or starts may
-	// arrive late.
+	// released holds the upstreams that this entry gave up and where leases may last, starts may
+	// arrive late, or ends of kept jobs were listed; also unlisted ones that it would own.
 	released []*ownedUpstream
 	token    int64
 	// noKeptJobs is true once it is known that there were no kept jobs, keptJobsExist once there
@@ -211,7 +229,7 @@
 		go h.pollLoop(ctx)
 	}
 	r.attachPending(ctx)
-	r.released = slices.DeleteFunc(r.released, func(h *ownedUpstream) bool { return !h.mayHaveRuns() && !h.hasUnansweredStarts() })
+	r.released = slices.DeleteFunc(r.released, (*ownedUpstream).isSettled)
 	for name, h := range r.owned {
 		if !listed[name] {
 			h.release()
@@ -226,6 +244,21 @@
 	}
 }
 
+// SetUnlisted names upstreams that this entry would own and that have vanished from the list. A
+// former owner that is not registered may still serve those that this entry has never owned.
+func (r *Runner) SetUnlisted(list []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range list {
+		if r.owned[u.Name] != nil || slices.ContainsFunc(r.released, func(h *ownedUpstream) bool { return h.name() == u.Name }) {
+			continue
+		}
+		h := newOwnedUpstream(r, u, r.token)
+		h.released = true
+		r.released = append(r.released, h)
+	}
+}
+
 // Request starts a run for a requester, or attaches the requester to a run that
 // was started before. Ended is called in either case, also for a run that did
 // not start.
--- a/lib/runner/starts.go
+++ b/lib/runner/starts.go
@@ -53,6 +53,9 @@
 	case holder != "" && h.runner.isCancelled(k.task):
 		// The holder may not know that.
 		return wire.RunEnd_refused
+	case holder != "" && h.runner.isOverdue(time.Now()):
+		// Others do not wait for its end any more.
+		return wire.RunEnd_refused
 	case h.runs[k] != nil:
 		return wire.RunEnd_superseded
 	case !h.usable(time.Now()):
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -26,7 +26,9 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"radishweir.org/lib/committer"
+	"radishweir.org/lib/confirmer"
 	"radishweir.org/lib/coordinator"
+	"radishweir.org/lib/divider"
 	"radishweir.org/lib/drainer"
 	"radishweir.org/lib/enroller"
 	"radishweir.org/lib/evacuator"
@@ -36,6 +38,7 @@
 	"radishweir.org/lib/platform"
 	"radishweir.org/lib/recorder"
 	"radishweir.org/lib/relayer"
+	"radishweir.org/lib/relinquisher"
 	"radishweir.org/lib/roster"
 	"radishweir.org/lib/router"
 	"radishweir.org/lib/runner"
@@ -93,6 +96,7 @@
 	messenger       *messenger.Messenger
 	committer       *committer.Committer
 	keeper          *keeper.Keeper
+	confirmer       *confirmer.Confirmer
 	relayer         *relayer.Relayer
 	watchers        []*watcher.Watcher
 	callerServer    *drainer.Server
@@ -102,6 +106,10 @@
 	current  atomic.Pointer[Settings]
 	ctx      context.Context
 	assignMu sync.Mutex
+	// departures tells when the leases of entries have ended that left, and vanished, which
+	// assignMu guards, which upstreams these may serve although the list lacks them.
+	departures relinquisher.Ledger
+	vanished   relinquisher.Vanished
 	// view is the divider.View from which the upstreams of this entry were computed; 0
 	// before they are known.
 	view     atomic.Uint64
@@ -155,7 +163,14 @@
 
 // buildJobComponents builds the components that run jobs.
 func (e *Entry) buildJobComponents(rec *recorder.Recorder) {
-	e.runner = &runner.Runner{Client: &adapter.UpstreamClient{Counter: rec}, Ended: e.reportRunEnd, Changed: e.publishState, LastSeen: e.lastSeen, Registered: func() bool { return e.enroller.HoldsRegistration() }, HolderListed: func(holder string) bool { return e.enroller.HolderListed(holder) }, Evacuated: e.evacuated(), Observer: rec, Log: e.Log}
+	e.runner = &runner.Runner{
+		Client: &adapter.UpstreamClient{Counter: rec}, Ended: e.reportRunEnd, Changed: e.publishState, LastSeen: e.lastSeen,
+		Registered:            func() bool { return e.enroller.HoldsRegistration() },
+		HolderListed:          func(holder string) bool { return e.enroller.HolderListed(holder) },
+		MembersConfirmedSince: func(at time.Time) bool { return e.confirmer.ConfirmedSince(e.ctx, at) },
+		SettledAt:             e.departures.SettledAt, RenewableUntil: e.renewableUntil,
+		Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
+	}
 	e.messenger = &messenger.Messenger{
 		Name: e.Name, Incarnation: e.self.GetIncarnation(), Address: e.EntryAddress, Handler: e, Log: e.Log,
 		StateFrames: e.cores() * stateFramesPerCore,
@@ -190,6 +205,9 @@
 	} else {
 		e.watchers = append(e.watchers, watch(adapter.ConfigurationKey, 0, e.applyConfiguration))
 	}
+	e.confirmer = &confirmer.Confirmer{
+		Read: e.readView, Known: func() divider.View { return divider.View(e.view.Load()) }, Confirmed: e.runner.ReviewExpired, Log: e.Log,
+	}
 	e.relayer = &relayer.Relayer{Self: e.Name, Apply: e.roster.Apply, Log: e.Log}
 	e.roster.Relay = e.relayer.Relay
 	w := watch(adapter.UpstreamPrefix, upstreamPace, e.relayer.FromStore)
--- a/radishweir/internal/composer/kept.go
+++ b/radishweir/internal/composer/kept.go
@@ -62,6 +62,9 @@
 	return out
 }
 
+// Confirm implements keeper.Peers.
+func (p *peers) Confirm(ctx context.Context) (bool, error) { return p.confirmer.Confirm(ctx) }
+
 // incarnationsOf returns the incarnations of entries by name.
 func incarnationsOf(members []*wire.Registration) map[string]string {
 	out := make(map[string]string, len(members))
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"radishweir.org/lib/detector"
 	"radishweir.org/lib/divider"
 	"radishweir.org/lib/messenger"
+	"radishweir.org/lib/relinquisher"
 	"radishweir.org/lib/runner"
 	"radishweir.org/lib/wire"
 )
@@ -33,6 +35,7 @@
 		e.runner.RetainOrphanedEnds()
 	}
 	registrations, token := e.enroller.Members()
+	e.departures.Apply(time.Now(), incarnationsOf(registrations))
 	group := e.nearGroup(registrations)
 	var entries []divider.Member
 	peers, near, domains := make(map[string]messenger.Peer), make(map[string]bool), make(map[string]string)
@@ -55,11 +58,16 @@
 			owned = append(owned, *u)
 		}
 	}
+	vanished := slices.DeleteFunc(e.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
+		owner, ok := members.Owner(u.Name, u.Domain)
+		return !ok || owner != e.Name
+	})
 	e.coordinator.SetNear(near)
 	e.coordinator.SetDomains(domains)
 	e.messenger.SetPeers(e.ctx, peers)
 	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
+	e.runner.SetUnlisted(vanished)
 	if len(list) > 0 {
 		// Without the list of upstreams, this entry would vouch for none of those that it
 		// is about to own.
@@ -69,6 +77,21 @@
 	e.coordinator.UpdateOwnStates(true, e.runner.States)
 }
 
+// readView reads the registered entries from the store.
+func (e *Entry) readView(ctx context.Context) (divider.View, error) {
+	incarnations, err := e.enroller.ReadMembers(ctx)
+	return divider.NewView(incarnations), err
+}
+
+// renewableUntil returns the time up to which this entry may renew the leases of upstreams that list
+// ends of kept jobs; zero while it is registered.
+func (e *Entry) renewableUntil() time.Time {
+	if at := e.enroller.LapsedAt(); !at.IsZero() {
+		return relinquisher.Deadline(at)
+	}
+	return time.Time{}
+}
+
 // nearGroup returns the entries that are near this one, itself included: all of a
 // small fleet, otherwise those of its cell of its failure domain.
 func (e *Entry) nearGroup(registrations []*wire.Registration) []*wire.Registration {
