Take silence for the loss of a kept job's run only if the ownership is confirmed

An entry had registered and become the owner of its domain's upstreams as the entries that owned them meanwhile were cut off.

Cause: an owner takes the silence of an upstream until the end of its lease for the loss of all runs there. One that is cut off does not know that another entry owns the upstream by then, renews the lease and lists the ends.

Change: the run of a kept job counts as lost only after the store has shown, by a read that was sent after the end of the lease, the registrations from which the ownership was computed.

Ruled out: that the holder restarts the tasks by itself. It does so only after the owner's word.

--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -293,7 +293,7 @@
 // cutWithJob starts a divided cluster, cuts domain a off while the four tasks of a job are at work
 // there that entry-1 of domain b holds, and adds upstreams in domain c. The tasks end as done after
 // 1.5 s, while other runs keep the leases in domain a alive.
-func cutWithJob(t *testing.T, ctx context.Context) *cluster {
+func cutWithJob(ctx context.Context, t *testing.T) *cluster {
 	c := newDividedCluster(t, 61, []string{"b", "a", "c", "c"}, []string{"a", "a", "a"})
 	go c.keepBusy(ctx, "a")
 	c.fleet.SetRunTime(func(task string) time.Duration {
@@ -352,7 +352,7 @@
 				withFakeTime(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
-					c := cutWithJob(t, ctx)
+					c := cutWithJob(ctx, t)
 					defer c.stop()
 					time.Sleep(1800 * time.Millisecond)
 					remove(c)
@@ -379,7 +379,7 @@
 				withFakeTime(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
-					c := cutWithJob(t, ctx)
+					c := cutWithJob(ctx, t)
 					defer c.stop()
 					time.Sleep(1800 * time.Millisecond)
 					remove(c)
@@ -435,3 +435,32 @@
 		})
 	}
 }
+
+// Guards against TWICE: the entry of a failure domain registers as the domain of those that own its
+// upstreams meanwhile is cut off, which know nothing of it. They take the upstreams' silence until
+// the end of the lease for the loss of runs that end as done under the new owner.
+func TestOwnersInBetweenAreCutOff(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newDividedCluster(t, 63, []string{"c", "a?", "c"}, []string{"a", "a", "a"})
+		defer c.stop()
+		go c.keepBusy(ctx, "a")
+		c.fleet.SetRunTime(func(task string) time.Duration {
+			if background(task) {
+				return 100 * time.Millisecond
+			}
+			return 4 * time.Second
+		})
+		if s := c.alive()[0].submit("a", 4); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(3800 * time.Millisecond)
+		c.addUpstreams("c", "c", "c")
+		c.cutDomain("c")
+		c.start("entry-2")
+		time.Sleep(3 * time.Second)
+		c.healDomain()
+		c.checkJobs([]string{"a"}, nil, 30*time.Second)
+	})
+}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -59,10 +59,10 @@
 
 // endExpired ends the runs on an upstream that is silent since its lease has ended as lost; the
 // caller holds the lock. A requester that asks for its run again and again does not delay the
-// ends of others.
+// ends of others. The run of a kept job may have ended as done under another owner.
 func (h *ownedUpstream) endExpired(now time.Time) {
 	h.endAsLost("silent until its lease ended", func(r *run) bool {
-		return now.After(r.leaseEnd)
+		return now.After(r.leaseEnd) && (!h.mayBeKept(r) || h.runner.confirmedSince(latest(h.leaseEnd, r.leaseEnd)))
 	})
 }
 
