Keep waiting for unlisted upstreams after the entry that knows them restarted

What callers saw: nothing yet; found by asking which entry knows of an upstream that a cut-off domain serves once the list lacks it.

Cause: only the entry that had owned such an upstream waited for it. If that one was killed or stopped during the wait, its next process knew nothing and answered the claim at once.

Change: all entries wait for an upstream that vanished and is not known to have answered its last owner. The setting failure_domains names them; without it nothing waits.

Ruled out: to let every new entry wait, which would delay all kept jobs after a kill of all processes.

Measured: TestTakeoverWhileDomainIsCutOff, case 'two planned stops, an owner restarts once the upstreams are unlisted', failed before (four of four tasks started again) and passes; 20 of 20 cases pass.

--- a/lib/coordinator/fleet.go
+++ b/lib/coordinator/fleet.go
@@ -108,6 +108,14 @@
 	usedUntil time.Time
 }
 
+// IsReached reports whether an upstream has answered an owner, as far as this entry knows.
+func (c *Coordinator) IsReached(upstream, owner string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.upstreams[upstream]
+	return s != nil && s.owner == owner && s.reached
+}
+
 // removeReceived removes the requests up to the given number, which the peer
 // received.
 func (l *peerState) removeReceived(number uint64) {
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -137,7 +137,10 @@
 		old.cancel()
 	}
 	n.Coordinator = &coordinator.Coordinator{Self: name, Domain: c.domains[name], PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
-	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, RenewableUntil: n.renewableUntil, SettledAt: n.departures.SettledAt, MembersConfirmedSince: func(at time.Time) bool { return n.confirmer.ConfirmedSince(n.ctx, at) }, Log: nopLog}
+	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, RenewableUntil: n.renewableUntil, SettledAt: n.departures.SettledAt, UnseenUntil: n.departures.UnseenUntil, MembersConfirmedSince: func(at time.Time) bool { return n.confirmer.ConfirmedSince(n.ctx, at) }, Log: nopLog}
+	for _, domain := range c.domains {
+		n.departures.Domains = append(n.departures.Domains, domain)
+	}
 	n.confirmer = &confirmer.Confirmer{Read: n.readView, Known: n.knownView, Confirmed: n.runner.ReviewExpired, Log: nopLog}
 	n.Local = localRunner{n.runner, n}
 	link := &storeLink{c.store, n}
@@ -310,7 +313,11 @@
 	for name := range c.registered {
 		members = append(members, divider.Member{Name: name, Domain: c.domains[name]})
 	}
-	view, list, incarnations := divider.NewView(c.registered), c.listed, maps.Clone(c.registered)
+	view, list := divider.NewView(c.registered), c.listed
+	entries := make(map[string]relinquisher.Entry)
+	for name, incarnation := range c.registered {
+		entries[name] = relinquisher.Entry{Incarnation: incarnation, Domain: c.domains[name]}
+	}
 	c.mu.Unlock()
 	if list == nil {
 		list = c.fleet.List()
@@ -325,10 +332,10 @@
 				own = append(own, u)
 			}
 		}
-		n.departures.Apply(time.Now(), incarnations)
+		n.departures.Apply(time.Now(), entries)
 		vanished := slices.DeleteFunc(n.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
 			owner, ok := divider.Owner(u.Name, u.Domain, members)
-			return !ok || owner != n.name
+			return !ok || n.IsReached(u.Name, owner)
 		})
 		n.runner.SetOwned(n.ctx, token, own)
 		n.runner.SetUnlisted(vanished)
--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -341,6 +341,15 @@
 		"":                         func(*cluster) {},
 		", an upstream crashes":    func(c *cluster) { c.fleet.Crash("u01") },
 		", an upstream is removed": func(c *cluster) { c.fleet.Remove("u01") },
+		", an owner restarts once the upstreams are unlisted": func(c *cluster) {
+			nodes := c.alive()
+			name := nodes[len(nodes)-1].name
+			time.AfterFunc(time.Until(c.cutAt.Add(4700*time.Millisecond)), func() {
+				c.kill(name)
+				time.Sleep(300 * time.Millisecond)
+				c.start(name)
+			})
+		},
 		", the store is down": func(c *cluster) {
 			c.store.setDown(true)
 			time.AfterFunc(2*time.Second, func() { c.store.setDown(false) })
--- a/lib/relinquisher/relinquisher.go
+++ b/lib/relinquisher/relinquisher.go
@@ -15,8 +15,8 @@
 //
 // # Usage
 //
-//	l := &relinquisher.Ledger{}
-//	l.Apply(now, incarnations)
+//	l := &relinquisher.Ledger{Domains: domains}
+//	l.Apply(now, entries)
 //	if now.After(l.SettledAt(acquiredAt)) { ... }
 //	mayRenew := now.Before(relinquisher.Deadline(lapsedAt))
 package relinquisher
@@ -48,10 +48,18 @@
 // upstreams that list ends of kept jobs.
 func Deadline(lapsedAt time.Time) time.Time { return lapsedAt.Add(Grace) }
 
-// member is a registered entry.
+// Entry is a registered entry.
+type Entry struct {
+	// Incarnation identifies one run of its process.
+	Incarnation string
+	// Domain is its failure domain.
+	Domain string
+}
+
+// member is an entry since its registration.
 type member struct {
-	incarnation string
-	joinedAt    time.Time
+	Entry
+	joinedAt time.Time
 }
 
 // departure is an entry that is not registered any more.
@@ -62,9 +70,12 @@
 	settledAt time.Time
 }
 
-// Ledger records which entries left. Its zero value is ready for use, and it is safe for
-// concurrent use.
+// Ledger records which entries left. It is safe for concurrent use. Exported fields are set before
+// the first call.
 type Ledger struct {
+	// Domains are the failure domains that have entries; nil if unknown.
+	Domains []string
+
 	mu      sync.Mutex
 	members map[string]member
 	left    []departure
@@ -73,26 +84,26 @@
 	unknownUntil time.Time
 }
 
-// Apply records the incarnations of the registered entries by name.
-func (l *Ledger) Apply(now time.Time, incarnations map[string]string) {
+// Apply records the registered entries by name.
+func (l *Ledger) Apply(now time.Time, entries map[string]Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members == nil {
 		l.members, l.unknownUntil = make(map[string]member), now.Add(settledAfter)
 	}
 	for name, m := range l.members {
-		if incarnations[name] != m.incarnation {
+		if entries[name].Incarnation != m.Incarnation {
 			l.left = append(l.left, departure{member: m, name: name, settledAt: now.Add(settledAfter)})
 			delete(l.members, name)
 		}
 	}
 	kept := l.left[:0]
 	for _, d := range l.left {
-		incarnation, registered := incarnations[d.name]
+		e, registered := entries[d.name]
 		switch {
 		case now.After(d.settledAt):
 			continue
-		case registered && incarnation == d.incarnation:
+		case registered && e.Incarnation == d.Incarnation:
 			// It answers for its upstreams itself.
 			l.members[d.name] = d.member
 			continue
@@ -103,13 +114,29 @@
 		kept = append(kept, d)
 	}
 	l.left = kept
-	for name, incarnation := range incarnations {
+	for name, e := range entries {
 		if _, known := l.members[name]; !known {
-			l.members[name] = member{incarnation: incarnation, joinedAt: now}
+			l.members[name] = member{e, now}
 		}
 	}
 }
 
+// UnseenUntil returns the time up to which an entry that left before the first call of Apply may serve
+// upstreams that the list lacks since then; zero if none can: a whole failure domain is cut off then,
+// and has no registered entry.
+func (l *Ledger) UnseenUntil() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	present := make(map[string]bool)
+	for _, m := range l.members {
+		present[m.Domain] = true
+	}
+	if slices.ContainsFunc(l.Domains, func(domain string) bool { return !present[domain] }) {
+		return l.unknownUntil
+	}
+	return time.Time{}
+}
+
 // SettledAt returns the time from which on no entry that left renews the lease of an upstream
 // that the caller owns since the given time. Entries that joined later never owned it.
 func (l *Ledger) SettledAt(acquiredAt time.Time) time.Time {
--- a/lib/relinquisher/relinquisher_test.go
+++ b/lib/relinquisher/relinquisher_test.go
@@ -15,10 +15,22 @@
 // after returns a time relative to start.
 func after(d time.Duration) time.Time { return start.Add(d) }
 
+// entries returns the registrations of entries a and b, of a failure domain each, with the given
+// incarnations; "" means that there is none.
+func entries(a, b string) map[string]relinquisher.Entry {
+	out := make(map[string]relinquisher.Entry)
+	for name, incarnation := range map[string]string{"a": a, "b": b} {
+		if incarnation != "" {
+			out[name] = relinquisher.Entry{Incarnation: incarnation, Domain: "domain-" + name}
+		}
+	}
+	return out
+}
+
 // newLedger returns a ledger that has known entries a and b for a minute.
 func newLedger() *relinquisher.Ledger {
-	l := &relinquisher.Ledger{}
-	l.Apply(start, map[string]string{"a": "1", "b": "1"})
+	l := &relinquisher.Ledger{Domains: []string{"domain-a", "domain-b"}}
+	l.Apply(start, entries("1", "1"))
 	return l
 }
 
@@ -27,7 +39,7 @@
 func TestOthersWaitForLeasesOfEntryThatLeft(t *testing.T) {
 	l := newLedger()
 	left := after(time.Minute)
-	l.Apply(left, map[string]string{"a": "1"})
+	l.Apply(left, entries("1", ""))
 	lapsed := left.Add(relinquisher.RegistrationTTL)
 	expired := relinquisher.Deadline(lapsed).Add(runner.LeaseTTL + runner.ClockMargin)
 	if at := l.SettledAt(left); !at.After(expired) {
@@ -49,16 +61,16 @@
 	left := after(time.Minute)
 	acquired := left
 	for name, c := range map[string]struct {
-		entries  map[string]string
+		entries  map[string]relinquisher.Entry
 		acquired time.Time
 		most     time.Duration
 	}{
-		"it is registered again": {map[string]string{"a": "1", "b": "1"}, acquired, 0},
-		"its process restarted":  {map[string]string{"a": "1", "b": "2"}, acquired, 1500*time.Millisecond + time.Second},
-		"owned since before":     {map[string]string{"a": "1"}, after(-time.Second), 0},
+		"it is registered again": {entries("1", "1"), acquired, 0},
+		"its process restarted":  {entries("1", "2"), acquired, 1500*time.Millisecond + time.Second},
+		"owned since before":     {entries("1", ""), after(-time.Second), 0},
 	} {
 		l := newLedger()
-		l.Apply(left, map[string]string{"a": "1"})
+		l.Apply(left, entries("1", ""))
 		l.Apply(left.Add(time.Second), c.entries)
 		if d := l.SettledAt(c.acquired).Sub(left); d > c.most {
 			t.Errorf("%s: the leases count as ended after %v, want at most %v", name, d, c.most)
@@ -97,3 +109,17 @@
 		}
 	}
 }
+
+// Guards against TWICE: an entry that has just started has not seen the upstreams of a failure domain
+// that is cut off. Also guards against waits after a start while all failure domains are there.
+func TestNewEntryWaitsForFailureDomainWithoutEntries(t *testing.T) {
+	l := &relinquisher.Ledger{Domains: []string{"domain-a", "domain-b"}}
+	l.Apply(start, entries("1", ""))
+	if at := l.UnseenUntil(); at.Before(after(relinquisher.RegistrationTTL + relinquisher.Grace + runner.LeaseTTL)) {
+		t.Errorf("the upstreams of the other failure domain count as free %v after the start", at.Sub(start))
+	}
+	l.Apply(after(time.Second), entries("1", "1"))
+	if at := l.UnseenUntil(); !at.IsZero() {
+		t.Errorf("upstreams count as not seen until %v, with entries in all failure domains", at.Sub(start))
+	}
+}
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -339,7 +339,7 @@
 // stopHolder stops the runs of a holder, which was retired at the given time, on all
 // owned upstreams and reports whether none is left, also on those that were given up.
 func (r *Runner) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
-	out := true
+	out := r.UnseenUntil == nil || time.Now().After(r.UnseenUntil())
 	for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
 		out = h.stopHolder(ctx, holder, retiredAt) && out
 	}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -145,6 +145,9 @@
 	// SettledAt returns the time from which on no former owner that is not registered renews the
 	// lease of an upstream that this entry owns since the given time; nil means that none ever does.
 	SettledAt func(acquiredAt time.Time) time.Time
+	// UnseenUntil returns the time up to which former owners may serve upstreams that vanished from
+	// the list before this entry started; zero if there are none. nil means that there never are.
+	UnseenUntil func() time.Time
 	// RenewableUntil returns the time up to which this entry may renew the leases of upstreams that
 	// list ends of kept jobs, as its registration lapsed; zero while it is registered. nil means
 	// that it always is.
@@ -172,7 +175,7 @@
 	mu    sync.RWMutex
 	owned map[string]*ownedUpstream
 	// released holds the upstreams that this entry gave up and where leases may last, starts may
-	// arrive late, or ends of kept jobs were listed; also unlisted ones that it would own.
+	// arrive late, or ends of kept jobs were listed; also those given to SetUnlisted.
 	released []*ownedUpstream
 	token    int64
 	// noKeptJobs is true once it is known that there were no kept jobs, keptJobsExist once there
@@ -244,8 +247,9 @@
 	}
 }
 
-// SetUnlisted names upstreams that this entry would own and that have vanished from the list. A
-// former owner that is not registered may still serve those that this entry has never owned.
+// SetUnlisted names upstreams that have vanished from the list and are not known to have answered
+// their last owner, so that a former one that is not registered may still serve them. All entries
+// wait for these, as the last owner may be restarted and know nothing of them.
 func (r *Runner) SetUnlisted(list []Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,6 +139,9 @@
 func New(s *Settings, log zerolog.Logger, missed *atomic.Int64) (*Entry, error) {
 	e := &Entry{Settings: s, Log: log.With().Str("entry", s.Name).Logger()}
 	e.applySettings(s)
+	if s.FailureDomains != "" {
+		e.departures.Domains = strings.Split(s.FailureDomains, ",")
+	}
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	started := time.Now()
 	e.self = &wire.Registration{
@@ -168,7 +172,7 @@
 		Registered:            func() bool { return e.enroller.HoldsRegistration() },
 		HolderListed:          func(holder string) bool { return e.enroller.HolderListed(holder) },
 		MembersConfirmedSince: func(at time.Time) bool { return e.confirmer.ConfirmedSince(e.ctx, at) },
-		SettledAt:             e.departures.SettledAt, RenewableUntil: e.renewableUntil,
+		SettledAt:             e.departures.SettledAt, UnseenUntil: e.departures.UnseenUntil, RenewableUntil: e.renewableUntil,
 		Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
 	}
 	e.messenger = &messenger.Messenger{
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -35,7 +35,7 @@
 		e.runner.RetainOrphanedEnds()
 	}
 	registrations, token := e.enroller.Members()
-	e.departures.Apply(time.Now(), incarnationsOf(registrations))
+	e.departures.Apply(time.Now(), departureEntries(registrations))
 	group := e.nearGroup(registrations)
 	var entries []divider.Member
 	peers, near, domains := make(map[string]messenger.Peer), make(map[string]bool), make(map[string]string)
@@ -60,7 +60,7 @@
 	}
 	vanished := slices.DeleteFunc(e.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
 		owner, ok := members.Owner(u.Name, u.Domain)
-		return !ok || owner != e.Name
+		return !ok || e.coordinator.IsReached(u.Name, owner)
 	})
 	e.coordinator.SetNear(near)
 	e.coordinator.SetDomains(domains)
@@ -77,6 +77,15 @@
 	e.coordinator.UpdateOwnStates(true, e.runner.States)
 }
 
+// departureEntries converts registrations to the form in which departures are recorded.
+func departureEntries(registrations []*wire.Registration) map[string]relinquisher.Entry {
+	out := make(map[string]relinquisher.Entry, len(registrations))
+	for _, r := range registrations {
+		out[r.GetName()] = relinquisher.Entry{Incarnation: r.GetIncarnation(), Domain: r.GetFailureDomain()}
+	}
+	return out
+}
+
 // readView reads the registered entries from the store.
 func (e *Entry) readView(ctx context.Context) (divider.View, error) {
 	incarnations, err := e.enroller.ReadMembers(ctx)
--- a/radishweir/internal/composer/settings.go
+++ b/radishweir/internal/composer/settings.go
@@ -13,8 +13,10 @@
 
 // Settings holds the contents of the settings file of one process.
 type Settings struct {
-	Name              string `toml:"name"`
-	FailureDomain     string `toml:"failure_domain"`
+	Name          string `toml:"name"`
+	FailureDomain string `toml:"failure_domain"`
+	// FailureDomains lists all failure domains that have entries, separated by commas; empty if unknown.
+	FailureDomains    string `toml:"failure_domains"`
 	CallerAddress     string `toml:"caller_address"`
 	ReadinessAddress  string `toml:"readiness_address"`
 	EntryAddress      string `toml:"entry_address"`
@@ -43,6 +45,7 @@
 	return []loader.Field{
 		{Key: "name", Value: &s.Name, Check: loader.Name},
 		{Key: "failure_domain", Value: &s.FailureDomain, Check: loader.Name},
+		{Key: "failure_domains", Value: &s.FailureDomains, Default: ""},
 		{Key: "caller_address", Value: &s.CallerAddress, Check: loader.Address},
 		{Key: "readiness_address", Value: &s.ReadinessAddress, Check: loader.Address},
 		{Key: "entry_address", Value: &s.EntryAddress, Check: loader.Address},
