Give a retired holder no end for runs that it started before

Cause: an owner that has retired a holder answered its question for a run that was started before as refused. The holder, whose failure domain was just back and which did not know yet that its key was gone, takes that for a run that never began, and started the task on an upstream of its own. The log of the soak shows it: run_given_up with cause refused, reason 'its owner reported it', 2.4 s after the run had ended as done and 35 ms before the next start.

Change: no answer. The holder learns by its own clock, or from the store, that it is lost, which ends its wait; the entry that takes the jobs over collects the end. Requests to start a run are refused as before.

Ruled out: that the owner had forgotten the end; it was listed until the adopter had stored it.

Measured: TestAttachmentOfRetiredHolderGetsNoEnd fails before (refused) and passes.

--- a/lib/runner/retention_test.go
+++ b/lib/runner/retention_test.go
@@ -97,3 +97,26 @@
 		}
 	})
 }
+
+// Guards against TWICE: a holder that does not know yet that its jobs were taken over asks for a run
+// that is done, takes the refusal for a run that never began, and starts the task elsewhere.
+func TestAttachmentOfRetiredHolderGetsNoEnd(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(1)
+		b := newHarness(ctx, f, 1)
+		time.Sleep(50 * time.Millisecond)
+		q := &wire.RunRequest{Upstream: "u0", Task: "t", Run: 1, Amount: runner.AmountToWire(taskAmount), ExpectedMs: 100, Holder: "entry-2@1"}
+		b.Request(ctx, "entry-2", q)
+		time.Sleep(time.Second)
+		done := make(chan struct{})
+		b.RetireHolder(ctx, "entry-3", "entry-2@1", func() { close(done) })
+		<-done
+		b.forget("t/1")
+		q.Attach = true
+		b.Request(ctx, "entry-2", q)
+		time.Sleep(time.Second)
+		if cause := b.end("t/1"); cause != 0 {
+			t.Errorf("the run of a retired holder ended as %v, want no end", cause)
+		}
+	})
+}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -270,7 +270,11 @@
 	r.Log.Debug().Str("task", q.GetTask()).Uint64("run", q.GetRun()).Str("upstream", q.GetUpstream()).
 		Str("requester", requester).Bool("attach", q.GetAttach()).Msg("run_requested")
 	if r.isRetired(q.GetHolder()) {
-		r.reportEnd(requester, q, wire.RunEnd_refused)
+		if !q.GetAttach() {
+			r.reportEnd(requester, q, wire.RunEnd_refused)
+		}
+		// A run that was started before may be done. The requester learns soon that its holder is lost,
+		// and must not start the task again until then.
 		return
 	}
 	if q.GetAttach() {
