--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -58,6 +58,8 @@
 	listener net.Listener
 	record   schema.Worker
 	name     string
+	// silentSince is when the worker was cut off from the store; zero if it is not.
+	silentSince time.Time
 }
 
 // New returns a platform without workers.
@@ -155,6 +157,21 @@
 	}
 }
 
+// SetCutOff cuts the workers of a failure domain off from the store, which drops their records
+// after three intervals without a report, or ends that.
+func (p *Platform) SetCutOff(domain string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if w.record.Zone != domain {
+			continue
+		}
+		if w.silentSince = (time.Time{}); cut {
+			w.silentSince = time.Now()
+		}
+	}
+}
+
 // Run serves the store and the workers until ctx ends.
 func (p *Platform) Run(ctx context.Context) {
 	var work sync.WaitGroup
@@ -179,6 +196,12 @@
 	for ctx.Err() == nil {
 		p.mu.Lock()
 		for _, w := range p.workers {
+			if !w.silentSince.IsZero() {
+				if time.Since(w.silentSince) > 3*reportInterval && !p.Store.isDown() {
+					p.Store.Remove("servers/" + w.name)
+				}
+				continue
+			}
 			w.record.Sequence++
 			data, err := json.Marshal(w.record)
 			if err == nil && !p.Store.isDown() {
--- a/standin/hoster/store.go
+++ b/standin/hoster/store.go
@@ -86,6 +86,19 @@
 	s.remove(key)
 }
 
+// Keys returns the keys with a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
