lib/runner: ask for the registration only where kept jobs are concerned

Cause: whether an upstream is usable was computed with a look at the registration's term, a system call, also where only best-effort jobs run.

Change: upstreams without runs or ends of kept jobs skip it.

--- a/lib/runner/settlement.go
+++ b/lib/runner/settlement.go
@@ -64,13 +64,16 @@
 // are at work there. Once it has expired, these ends are void, and the upstream serves other jobs.
 // The caller holds the lock.
 func (h *ownedUpstream) relinquishes(now time.Time) bool {
+	if !h.relinquishing && !h.relinquished && !h.concernsKeptJobs() {
+		return false
+	}
 	switch {
 	case !h.runner.isOverdue(now):
 		h.relinquishing, h.relinquished = false, false
 	case h.relinquishing && now.After(h.leaseEnd):
 		h.relinquishing, h.relinquished = false, true
 		h.outdated = true
-	case !h.relinquishing && !h.relinquished && h.concernsKeptJobs():
+	case !h.relinquishing && !h.relinquished:
 		h.relinquishing, h.outdated = true, true
 		h.runner.Log.Warn().Str("upstream", h.upstream.Name).Int("runs", len(h.runs)).Int("ends", len(h.retainedEnds)).Msg("lease_relinquished")
 		if h.runner.Observer != nil {
