Take over at once the jobs of which nothing can be left on unreached upstreams

What callers saw: all jobs of a lost holder waited for the end of a cut, also those whose tasks had been at work on upstreams that are reached; and for up to 9.21 s after the start of a new entry that had owned an upstream of the cut-off domain for a moment, though the cut was over.

Cause: a claim was answered only as a whole, and an entry went on waiting for an upstream that it had not reached after another one owned it again.

Change: while a takeover waits, owners tell the adopter which runs they have stopped. Nobody else learns of these ends, so each is the last run of its task; a job whose begun tasks are all done or stopped is taken over after the grace of 1.5 s. Who owns a listed upstream answers for it; only upstreams that vanished from the list are waited for by others.

Ruled out: ends of runs that appeared after the first report to an owner, which may be late starts of runs that were given up, and those of which anybody was told: the holder may have started the task elsewhere.

--- a/lib/coordinator/job.go
+++ b/lib/coordinator/job.go
@@ -217,7 +217,12 @@
 // name returns the task's identifier at upstreams: job, occurrence (always 0),
 // step and index, separated by dots.
 func (t *task) name() string {
-	return t.job.ID + ".0." + strconv.Itoa(t.stepIndex) + "." + strconv.Itoa(t.index)
+	return TaskName(t.job.ID, t.stepIndex, t.index)
+}
+
+// TaskName returns the name of a task; ParseTask is its inverse.
+func TaskName(job string, step, index int) string {
+	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
 
 // step returns the step of the task.
--- a/lib/keeper/claims.go
+++ b/lib/keeper/claims.go
@@ -16,6 +16,12 @@
 	// have not answered it since, answered the last answers.
 	sent     map[string]string
 	answered map[string]claimAnswer
+	// graceEnd is the earliest time of its first write.
+	graceEnd time.Time
+	// stopped holds the tasks whose last run is known to have ended without a result.
+	stopped map[string]bool
+	// evidence is the number of ends that were known when the records were last read.
+	evidence int
 }
 
 // claimAnswer is the answer of an entry to a claim.
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -338,7 +338,9 @@
 			return !ok || n.IsReached(u.Name, owner)
 		})
 		n.runner.SetOwned(n.ctx, token, own)
-		n.runner.SetUnlisted(vanished)
+		n.runner.SetUnlisted(vanished, func(name string) bool {
+			return slices.ContainsFunc(list, func(u runner.Upstream) bool { return u.Name == name })
+		})
 		c.mu.Lock()
 		n.view = view
 		c.mu.Unlock()
@@ -379,10 +381,18 @@
 // sendEnd reports the end of a run to its requester.
 func (n *node) sendEnd(requester string, e *wire.RunEnd) {
 	if requester == n.name {
-		n.RunEnded(n.name, e)
+		n.runEnded(n.name, e)
 		return
 	}
-	n.deliver(requester, func(p *node) { p.RunEnded(n.name, e) })
+	n.deliver(requester, func(p *node) { p.runEnded(n.name, e) })
+}
+
+// runEnded passes an end that an owner reports to those that may wait for it.
+func (n *node) runEnded(owner string, e *wire.RunEnd) {
+	n.RunEnded(owner, e)
+	if e.GetCause() == wire.RunEnd_stopped {
+		n.keeper.RunStopped(e)
+	}
 }
 
 // publishState sends the state of an upstream to all entries.
--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -113,7 +113,7 @@
 	for i, domain := range domains {
 		c.fleet.Add(runner.Upstream{
 			Name: fmt.Sprintf("u%02d", n+i), Service: "claims", Address: fmt.Sprintf("10.0.0.%d:8140", n+i+1), Incarnation: 1, Domain: domain,
-			Capacity: packer.Amount{CPU: 24000, Memory: 65536},
+			Capacity: packer.Amount{CPU: 24000, Memory: 65536}, Labels: runner.JoinLabels([]string{"domain-" + domain}),
 		}, 1)
 	}
 	c.listUpstreams(c.fleet.List())
@@ -473,3 +473,47 @@
 		c.checkJobs([]string{"a"}, nil, 30*time.Second)
 	})
 }
+
+// Guards against needless waits: the tasks of a lost holder's job were at work on upstreams that are
+// reached, while the takeover waits for others. Their owners have stopped them, so nothing of the job
+// can be left elsewhere.
+func TestJobsOnReachedUpstreamsDoNotWaitForCutDomain(t *testing.T) {
+	for name, remove := range removals {
+		t.Run(name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				c := newDividedCluster(t, 64, []string{"b", "a", "c", "c"}, []string{"a", "a", "a", "c", "c", "c"})
+				defer c.stop()
+				go c.keepBusy(ctx, "a")
+				c.fleet.SetRunTime(func(task string) time.Duration {
+					if background(task) {
+						return 100 * time.Millisecond
+					}
+					return 9 * time.Second
+				})
+				for _, domain := range []string{"a", "c"} {
+					j := job(domain, 4)
+					for i := range j.Steps {
+						j.Steps[i].Label = "domain-" + domain
+					}
+					j.Steps[1].Label = ""
+					if s := c.alive()[0].keeper.Submit(ctx, j).State; s != coordinator.Accepted {
+						t.Fatalf("submitted job: state %v, want accepted", s)
+					}
+				}
+				time.Sleep(2500 * time.Millisecond)
+				c.cutDomain("a")
+				time.Sleep(1800 * time.Millisecond)
+				remove(c)
+				time.Sleep(time.Until(c.cutAt.Add(6 * time.Second)))
+				if a, b := c.fleet.Starts("a.0.0.0"), c.fleet.Starts("c.0.0.0"); a != 1 || b != 2 {
+					t.Errorf("%d and %d starts of tasks in the cut domain and outside, want 1 and 2", a, b)
+				}
+				time.Sleep(time.Until(c.cutAt.Add(6200 * time.Millisecond)))
+				c.healDomain()
+				c.checkJobs([]string{"a", "c"}, nil, 40*time.Second)
+			})
+		})
+	}
+}
--- a/lib/keeper/takeover.go
+++ b/lib/keeper/takeover.go
@@ -166,7 +166,8 @@
 		k.mu.Unlock()
 		return
 	}
-	k.takeovers[holder] = &takeover{sent: make(map[string]string), answered: make(map[string]claimAnswer)}
+	t := &takeover{sent: make(map[string]string), answered: make(map[string]claimAnswer), stopped: make(map[string]bool), graceEnd: time.Now().Add(holderStopGrace)}
+	k.takeovers[holder] = t
 	k.mu.Unlock()
 	go func() {
 		defer func() {
@@ -182,9 +183,12 @@
 		k.Log.Info().Str("holder", holder).Msg("takeover_begun")
 		started := time.Now()
 		for ctx.Err() == nil && !k.claimsSettled(ctx, holder) {
+			if t.isGraceOver(time.Now()) {
+				k.takeOverSettledJobs(ctx, holder)
+			}
 			pause(ctx, claimInterval)
 		}
-		pause(ctx, time.Until(started.Add(holderStopGrace)))
+		pause(ctx, time.Until(t.graceEnd))
 		n, err := k.takeOverJobs(ctx, holder)
 		// A late write of the old holder may still add a job.
 		time.AfterFunc(lateWriteDelay, k.TriggerReview)
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -57,6 +57,9 @@
 	// requester asked for it here.
 	leaseEnd time.Time
 	stopping bool
+	// inherited is true if the first report to this owner listed the run, so that no start that was
+	// given up has been carried out late.
+	inherited bool
 	// unanswered is true if the run is stopped because its start got no answer.
 	unanswered bool
 	// stopFenced is true if the stop waits for a newer fencing token.
@@ -115,6 +118,9 @@
 	// retainedEnds holds the retained ends by number: those that must stay listed
 	// at the upstream.
 	retainedEnds map[uint64]retainedEnd
+	// untold holds the runs that the upstream listed as stopped or lapsed and of which no requester
+	// was told.
+	untold map[key]bool
 	// earlyReleases holds, with its time, each RunSafe that came before the end of
 	// its run was listed.
 	earlyReleases map[key]time.Time
@@ -129,8 +135,8 @@
 	released bool
 	// releasedAt is when the ownership ended.
 	releasedAt time.Time
-	// reached is true once the upstream was synced, so that it refuses all former owners.
-	reached bool
+	// unlisted is true if the upstream was given to SetUnlisted.
+	unlisted bool
 	// relinquishing is true while the lease is left to expire, as this entry is not registered.
 	relinquishing bool
 	// relinquished is true once it has expired for that reason, until this entry is registered again.
@@ -184,7 +190,7 @@
 func newOwnedUpstream(r *Runner, u Upstream, token int64) *ownedUpstream {
 	return &ownedUpstream{
 		runner: r, wake: make(chan struct{}, 1), upstream: u, token: token, free: u.Capacity,
-		runs: make(map[key]*run), recentEnds: make(map[key]recentEnd), retainedEnds: make(map[uint64]retainedEnd), earlyReleases: make(map[key]time.Time),
+		runs: make(map[key]*run), recentEnds: make(map[key]recentEnd), retainedEnds: make(map[uint64]retainedEnd), untold: make(map[key]bool), earlyReleases: make(map[key]time.Time),
 		unansweredStarts: make(map[key]time.Time),
 		acquiredAt:       time.Now(), incarnation: u.Incarnation, health: newHealth(r.Log.With().Str("upstream", u.Name).Logger()),
 	}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -106,6 +106,7 @@
 func (h *ownedUpstream) resetReports() {
 	h.lastEnd, h.clock, h.synced = 0, 0, false
 	clear(h.retainedEnds)
+	clear(h.untold)
 	// A release may belong to a run of the former process.
 	clear(h.earlyReleases)
 	h.restoreRoom()
@@ -217,7 +218,7 @@
 		}
 	}
 	if acquired {
-		h.synced, h.reached = true, true
+		h.synced = true
 		// Until this poll, another owner may have renewed the lease.
 		h.recordRenewal(now)
 		for k, r := range h.runs {
@@ -247,6 +248,7 @@
 			Int64("after_ms", now.Sub(r.startedAt).Milliseconds()).Msg("unanswered_run_stopped")
 	}
 	h.recordEnd(r, e.Cause, now, h.trackEnd(k, r, e.Cause == wire.RunEnd_done, now))
+	h.withholdEnd(k, r, e.Cause)
 	h.endRun(k, e.Cause, true)
 }
 
@@ -265,7 +267,7 @@
 		}
 		r := &run{
 			request: &wire.RunRequest{Upstream: h.upstream.Name, Task: k.task, Run: k.run},
-			phase:   running, startedAt: now, confirmedAt: now, attachDeadline: now.Add(orphanGrace),
+			phase:   running, startedAt: now, confirmedAt: now, attachDeadline: now.Add(orphanGrace), inherited: !h.synced && !ended,
 		}
 		h.runs[k] = r
 		if ended && !end.listed {
--- a/lib/runner/requesters.go
+++ b/lib/runner/requesters.go
@@ -12,6 +12,7 @@
 	k := key{q.GetTask(), q.GetRun()}
 	h.mu.Lock()
 	defer h.unlock()
+	delete(h.untold, k)
 	now := time.Now()
 	// Another owner may have given the upstream up just before the requester asked.
 	leaseEnd := now.Add(LeaseTTL + ClockMargin)
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -219,12 +219,12 @@
 // stopHolder stops the runs of a dead holder, which was retired at the given time, and
 // reports whether none is left. It also waits for orphaned runs, which may be the
 // holder's. After a release it waits for the end of their lease, as the upstream may be given
-// up because its registration is missing, and get no other owner. One that this owner has not
-// reached may have runs, or list ends, of which only a former owner knows.
+// up because its registration is missing, and get no other owner. One that has not
+// answered may have runs, or list ends, of which only a former owner knows.
 func (h *ownedUpstream) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
 	h.mu.Lock()
 	defer h.unlock()
-	if !h.synced && (!h.released || !h.reached) {
+	if h.mayBeServed() {
 		return h.isUnreachedSettled(retiredAt, time.Now())
 	}
 	left := false
@@ -326,24 +326,24 @@
 	r.retiredMu.Unlock()
 	r.RetainOrphanedEnds()
 	go func() {
-		r.awaitRetirement(ctx, holder, retiredAt)
-		for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
-			h.resendEnds(func(e retainedEnd) bool {
-				return (e.holder == holder || e.holder == "") && (e.cause == wire.RunEnd_done || !h.isReleased())
-			}, adopter)
-		}
+		r.awaitRetirement(ctx, adopter, holder, retiredAt)
+		r.reportRetainedEnds(adopter, holder)
 		done()
 	}()
 }
 
 // stopHolder stops the runs of a holder, which was retired at the given time, on all
-// owned upstreams and reports whether none is left, also on those that were given up.
-func (r *Runner) stopHolder(ctx context.Context, holder string, retiredAt time.Time) bool {
-	out := r.UnseenUntil == nil || time.Now().After(r.UnseenUntil())
+// owned upstreams and reports whether none is left, also on those that were given up. known is true
+// if none is left but on upstreams that have not answered this owner.
+func (r *Runner) stopHolder(ctx context.Context, holder string, retiredAt time.Time) (known, all bool) {
+	known, all = true, r.UnseenUntil == nil || time.Now().After(r.UnseenUntil())
 	for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
-		out = h.stopHolder(ctx, holder, retiredAt) && out
+		if !h.stopHolder(ctx, holder, retiredAt) {
+			all = false
+			known = known && h.isUnreached()
+		}
 	}
-	return out
+	return known, all
 }
 
 // UnattendedJobs returns the kept jobs with runs whose requester is unreachable, in order
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -249,16 +249,24 @@
 
 // SetUnlisted names upstreams that have vanished from the list and are not known to have answered
 // their last owner, so that a former one that is not registered may still serve them. All entries
-// wait for these, as the last owner may be restarted and know nothing of them.
-func (r *Runner) SetUnlisted(list []Upstream) {
+// wait for these, as the last owner may be restarted and know nothing of them. Once one is listed again, its
+// owner answers for it.
+func (r *Runner) SetUnlisted(list []Upstream, listed func(upstream string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	known := make(map[string]bool)
+	r.released = slices.DeleteFunc(r.released, func(h *ownedUpstream) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		known[h.upstream.Name] = known[h.upstream.Name] || h.unlisted
+		return h.unlisted && listed(h.upstream.Name)
+	})
 	for _, u := range list {
-		if r.owned[u.Name] != nil || slices.ContainsFunc(r.released, func(h *ownedUpstream) bool { return h.name() == u.Name }) {
+		if known[u.Name] {
 			continue
 		}
 		h := newOwnedUpstream(r, u, r.token)
-		h.released = true
+		h.released, h.unlisted = true, true
 		r.released = append(r.released, h)
 	}
 }
--- a/lib/runner/settlement.go
+++ b/lib/runner/settlement.go
@@ -113,11 +113,72 @@
 	return now.Sub(latest(h.acquiredAt, retiredAt)) > leasesExpiredAfter && now.After(h.runner.settledAt(h.acquiredAt))
 }
 
-// isUnreached reports whether the upstream has not answered this owner.
+// mayBeServed reports whether a former owner that is not registered may serve the upstream: it has not
+// answered this owner, or had not answered its last one as it vanished from the list. The caller holds the
+// lock.
+func (h *ownedUpstream) mayBeServed() bool { return h.unlisted || !h.released && !h.synced }
+
+// isUnreached is mayBeServed for callers that do not hold the lock.
 func (h *ownedUpstream) isUnreached() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.synced && (!h.released || !h.reached)
+	return h.mayBeServed()
+}
+
+// withholdEnd makes nobody but an adopter learn that a run was stopped or has lapsed if its holder is
+// retired or unknown. A holder that does not know yet that it is lost would start the task again. As
+// nobody does, the run is the last one of its task. The caller holds the lock.
+func (h *ownedUpstream) withholdEnd(k key, r *run, cause wire.RunEnd_Cause) {
+	if cause != wire.RunEnd_stopped && cause != wire.RunEnd_lost {
+		return
+	}
+	switch {
+	case h.runner.isRetired(r.request.GetHolder()):
+		r.requester = ""
+	case r.requester != "" || !r.inherited || h.runner.discardsOrphaned():
+		return
+	}
+	h.untold[k] = true
+}
+
+// appendUntold appends the runs that were stopped or have lapsed and of which no requester was told, as
+// ends of a holder's runs.
+func (h *ownedUpstream) appendUntold(out []*wire.RunEnd, holder string) []*wire.RunEnd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.released || h.token == h.refusedToken {
+		// Another owner may have told a requester.
+		return out
+	}
+	for k := range h.untold {
+		out = append(out, &wire.RunEnd{Task: k.task, Run: k.run, Upstream: h.upstream.Name, Cause: wire.RunEnd_stopped, Holder: holder})
+	}
+	return out
+}
+
+// reportUntoldEnds tells the adopter of a retired holder which runs, the holder's or orphaned ones, were
+// stopped or have lapsed without the knowledge of their requesters, but not again those that were told before.
+func (r *Runner) reportUntoldEnds(adopter, holder string, told map[key]bool) {
+	var list []*wire.RunEnd
+	for _, h := range r.ownedUpstreams() {
+		list = h.appendUntold(list, holder)
+	}
+	for _, e := range list {
+		if k := (key{e.GetTask(), e.GetRun()}); !told[k] {
+			told[k] = true
+			r.Ended(adopter, e)
+		}
+	}
+}
+
+// reportRetainedEnds tells an adopter all retained ends that may be a lost holder's, also successes on
+// upstreams that this entry gave up.
+func (r *Runner) reportRetainedEnds(adopter, holder string) {
+	for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
+		h.resendEnds(func(e retainedEnd) bool {
+			return (e.holder == holder || e.holder == "") && (e.cause == wire.RunEnd_done || !h.isReleased())
+		}, adopter)
+	}
 }
 
 // isReleased reports whether this entry gave the upstream up.
@@ -135,7 +196,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	if !h.reached {
+	if h.unlisted {
 		return h.isUnreachedSettled(h.acquiredAt, now)
 	}
 	for _, e := range h.retainedEnds {
@@ -158,10 +219,20 @@
 }
 
 // awaitRetirement stops the runs of a lost holder, retired at the given time, and waits until none
-// is left.
-func (r *Runner) awaitRetirement(ctx context.Context, holder string, retiredAt time.Time) {
-	began, logged := time.Now(), false
-	for ctx.Err() == nil && !r.stopHolder(ctx, holder, retiredAt) {
+// is left. Meanwhile the adopter is told what is known, so that it need not wait for all with jobs of which
+// nothing can be left on unreached upstreams.
+func (r *Runner) awaitRetirement(ctx context.Context, adopter, holder string, retiredAt time.Time) {
+	began, logged, told, reported := time.Now(), false, make(map[key]bool), false
+	for ctx.Err() == nil {
+		known, all := r.stopHolder(ctx, holder, retiredAt)
+		r.reportUntoldEnds(adopter, holder, told)
+		if all {
+			break
+		}
+		if known && !reported {
+			reported = true
+			r.reportRetainedEnds(adopter, holder)
+		}
 		if !logged && time.Since(began) > waitLoggedAfter {
 			logged = true
 			r.Log.Info().Str("holder", holder).Strs("unreached", r.unreachedUpstreams()).Time("settled_at", r.settledAt(time.Now())).Msg("holder_retirement_waits")
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -67,7 +67,9 @@
 	e.messenger.SetPeers(e.ctx, peers)
 	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
-	e.runner.SetUnlisted(vanished)
+	e.runner.SetUnlisted(vanished, func(name string) bool {
+		return slices.ContainsFunc(list, func(u runner.Upstream) bool { return u.Name == name })
+	})
 	if len(list) > 0 {
 		// Without the list of upstreams, this entry would vouch for none of those that it
 		// is about to own.
@@ -177,10 +179,18 @@
 	return l.pauses.LastSeen(time.Now())
 }
 
+// runEnded passes an end that an owner reports to those that may wait for it.
+func (e *Entry) runEnded(owner string, end *wire.RunEnd) {
+	e.coordinator.RunEnded(owner, end)
+	if end.GetCause() == wire.RunEnd_stopped {
+		e.keeper.RunStopped(end)
+	}
+}
+
 // reportRunEnd reports the end of a run to its requester.
 func (e *Entry) reportRunEnd(requester string, end *wire.RunEnd) {
 	if requester == e.Name {
-		e.coordinator.RunEnded(e.Name, end)
+		e.runEnded(e.Name, end)
 		return
 	}
 	// A requester that is down sends its request again once it is reachable.
@@ -273,7 +283,7 @@
 		e.coordinator.UpdateStates(peer, f.GetWhole(), f.GetUpstreams())
 	}
 	for _, end := range f.GetEnds() {
-		e.coordinator.RunEnded(peer, end)
+		e.runEnded(peer, end)
 	}
 	e.relayer.Handle(peer, f)
 	e.handleDelegation(peer, f)
