lib/runner: do not lock an upstream twice as retained failures are reported

Cause: the ends that an adopter is told were selected by a function that locks the upstream, called with the lock held, if a run had failed. A dump of all goroutines shows SetOwned and all else behind it.

Change: the function reads the field. Ruled out: a wait for unreached upstreams; it had ended by its deadline.

--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -168,7 +168,7 @@
 }
 
 // resendEnds assigns all matching retained ends to the requester and sends them
-// to it.
+// to it. It calls match with the lock held.
 func (h *ownedUpstream) resendEnds(match func(retainedEnd) bool, requester string) {
 	h.mu.Lock()
 	var list []*wire.RunEnd
--- a/lib/runner/retention_test.go
+++ b/lib/runner/retention_test.go
@@ -120,3 +120,29 @@
 		}
 	})
 }
+
+// Guards against LOST: an entry that stands still as it tells the adopter of a holder's jobs which runs
+// have failed, so that no takeover ends any more.
+func TestRetirementOfHolderWithFailedRunEnds(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(1)
+		f.Update("u0", func(u *simulator.Upstream) { u.Failing = true })
+		b := newHarness(ctx, f, 1)
+		time.Sleep(50 * time.Millisecond)
+		b.Request(ctx, "entry-2", &wire.RunRequest{
+			Upstream: "u0", Task: "t", Run: 1, Amount: runner.AmountToWire(taskAmount), ExpectedMs: 100, Holder: "entry-2@1",
+		})
+		time.Sleep(time.Second)
+		b.forget("t/1")
+		done := make(chan struct{})
+		b.RetireHolder(ctx, "entry-3", "entry-2@1", func() { close(done) })
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Error("the retirement has not ended after 5 s")
+		}
+		if cause := b.end("t/1"); cause != wire.RunEnd_failed {
+			t.Errorf("the adopter was told %v of the run, want failed", cause)
+		}
+	})
+}
--- a/lib/runner/settlement.go
+++ b/lib/runner/settlement.go
@@ -176,18 +176,11 @@
 func (r *Runner) reportRetainedEnds(adopter, holder string) {
 	for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
 		h.resendEnds(func(e retainedEnd) bool {
-			return (e.holder == holder || e.holder == "") && (e.cause == wire.RunEnd_done || !h.isReleased())
+			return (e.holder == holder || e.holder == "") && (e.cause == wire.RunEnd_done || !h.released)
 		}, adopter)
 	}
 }
 
-// isReleased reports whether this entry gave the upstream up.
-func (h *ownedUpstream) isReleased() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.released
-}
-
 // isSettled reports whether nothing of an upstream that this entry gave up matters any more.
 func (h *ownedUpstream) isSettled() bool {
 	if h.mayHaveRuns() || h.hasUnansweredStarts() {
