Answer questions for runs only to holders that are listed

What callers would see: a task that is done runs again. Found by reading, as a related path.

Cause: which holders are retired is known in memory only. An owner that has just started tells a holder that lost its key and does not know it that its run is over, if it is absent; the holder starts the task again on upstreams of its own, which may be cut off with it.

Change: such a question waits until the list of the store has the holder, for 10 s at most; by then a holder that is lost has ended by its own clock. Requests to start were refused for that reason before.

Measured: TestAttachmentWaitsForHolderToBeListed fails before (lost) and passes; the tests of lib/runner, lib/keeper and lib/coordinator pass.

--- a/lib/runner/retention_test.go
+++ b/lib/runner/retention_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,3 +147,28 @@
 		}
 	})
 }
+
+// Guards against TWICE: an owner that has just started does not know that a holder is retired, and
+// tells it that a run is over of which it learns as lost.
+func TestAttachmentWaitsForHolderToBeListed(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(1)
+		b := newHarness(ctx, f, 1)
+		var listed atomic.Bool
+		b.HolderListed = func(string) bool { return listed.Load() }
+		time.Sleep(50 * time.Millisecond)
+		b.Request(ctx, "entry-2", &wire.RunRequest{
+			Upstream: "u0", Task: "t", Run: 1, Amount: runner.AmountToWire(taskAmount), ExpectedMs: 100, Holder: "entry-2@1", Attach: true,
+		})
+		time.Sleep(time.Second)
+		if cause := b.end("t/1"); cause != 0 {
+			t.Errorf("the run of a holder that is not listed ended as %v, want no end", cause)
+		}
+		listed.Store(true)
+		b.SetOwned(ctx, 1, f.List())
+		time.Sleep(time.Second)
+		if cause := b.end("t/1"); cause != wire.RunEnd_lost {
+			t.Errorf("the run ended as %v once its holder is listed, want lost", cause)
+		}
+	})
+}
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -101,6 +101,9 @@
 	// unlistedDelay is the time after which a run is refused whose holder is not listed. The holder
 	// may be newer than what this entry has read, and its entry asks again at once.
 	unlistedDelay = 50 * time.Millisecond
+	// unlistedRetention is how long an attachment waits for its holder to be listed: longer than a
+	// holder that is lost goes on.
+	unlistedRetention = 10 * time.Second
 	// endRetention is how long an end is remembered, and how long an attachment
 	// waits for the ownership of its upstream.
 	endRetention = 2 * time.Second
@@ -304,27 +307,32 @@
 // attach makes the requester receive the end of a run that was started before.
 // The requester may learn that this entry owns the upstream before the entry
 // does. The attachment is then stored, as only the owner can tell that a run is
-// absent.
+// absent. So is that of a holder that is not listed: an earlier process of this entry may have retired
+// it, and it must not learn that the run is over and start the task again.
 func (r *Runner) attach(ctx context.Context, requester string, q *wire.RunRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if h := r.owned[q.GetUpstream()]; h != nil {
+	a := attachment{requester, q, time.Now().Add(endRetention)}
+	if !r.isListed(q.GetHolder()) {
+		a.expires = time.Now().Add(unlistedRetention)
+	} else if h := r.owned[q.GetUpstream()]; h != nil {
 		h.attach(ctx, requester, q)
 		return
 	}
-	r.pendingAttachments = append(r.pendingAttachments, attachment{requester, q, time.Now().Add(endRetention)})
+	r.pendingAttachments = append(r.pendingAttachments, a)
 }
 
 // attachPending applies the attachments that waited for the ownership of their
-// upstreams and drops expired ones; the caller holds the lock.
+// upstreams, or for their holders, and drops expired ones; the caller holds the lock.
 func (r *Runner) attachPending(ctx context.Context) {
 	now := time.Now()
 	r.pendingAttachments = slices.DeleteFunc(r.pendingAttachments, func(a attachment) bool {
 		h := r.owned[a.request.GetUpstream()]
-		if h != nil {
+		attached := h != nil && r.isListed(a.request.GetHolder())
+		if attached {
 			h.attach(ctx, a.requester, a.request)
 		}
-		return h != nil || now.After(a.expires)
+		return attached || now.After(a.expires)
 	})
 }
 
