--- a/lib/confirmer/confirmer_test.go
+++ b/lib/confirmer/confirmer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +18,20 @@
 // then. Also guards against one read for each silent upstream.
 func TestOnlyLaterReadsConfirm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		reads, confirmed := 0, 0
-		view, err := divider.View(1), error(nil)
+		var reads, confirmed atomic.Int64
+		var view atomic.Uint64
+		var failing atomic.Bool
+		view.Store(1)
 		c := &confirmer.Confirmer{
 			Read: func(context.Context) (divider.View, error) {
-				reads++
+				reads.Add(1)
 				time.Sleep(4 * time.Millisecond)
-				return view, err
+				if failing.Load() {
+					return 0, errors.New("no answer")
+				}
+				return divider.View(view.Load()), nil
 			},
-			Known: func() divider.View { return 1 }, Confirmed: func() { confirmed++ }, Log: zerolog.Nop(),
+			Known: func() divider.View { return 1 }, Confirmed: func() { confirmed.Add(1) }, Log: zerolog.Nop(),
 		}
 		check := func(what string, at time.Time, want bool) {
 			t.Helper()
@@ -40,14 +46,15 @@
 		}
 		check("first read", time.Now().Add(-time.Millisecond), true)
 		check("earlier time", time.Now().Add(-time.Minute), true)
-		if reads != 1 || confirmed != 1 {
-			t.Errorf("%d reads, %d of them confirmed, want 1 and 1", reads, confirmed)
+		if reads.Load() != 1 || confirmed.Load() != 1 {
+			t.Errorf("%d reads, %d of them confirmed, want 1 and 1", reads.Load(), confirmed.Load())
 		}
-		view = 2
+		view.Store(2)
 		check("another view", time.Now(), false)
-		view, err = 1, errors.New("no answer")
+		view.Store(1)
+		failing.Store(true)
 		check("no answer", time.Now(), false)
-		err = nil
+		failing.Store(false)
 		check("the known view again", time.Now().Add(-time.Millisecond), true)
 	})
 }
