lib/runner: forget stopped runs after 30 s

Cause: the runs that an owner had stopped without telling a requester were kept until it gave the upstream up, so their number had no bound. Change: they are forgotten after 30 s, long after the takeover of their job began. Measured: the tests of lib/runner and lib/keeper pass.

--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -119,8 +119,8 @@
 	// at the upstream.
 	retainedEnds map[uint64]retainedEnd
 	// untold holds the runs that the upstream listed as stopped or lapsed and of which no requester
-	// was told.
-	untold map[key]bool
+	// was told, with the times at which they are forgotten.
+	untold map[key]time.Time
 	// earlyReleases holds, with its time, each RunSafe that came before the end of
 	// its run was listed.
 	earlyReleases map[key]time.Time
@@ -190,7 +190,7 @@
 func newOwnedUpstream(r *Runner, u Upstream, token int64) *ownedUpstream {
 	return &ownedUpstream{
 		runner: r, wake: make(chan struct{}, 1), upstream: u, token: token, free: u.Capacity,
-		runs: make(map[key]*run), recentEnds: make(map[key]recentEnd), retainedEnds: make(map[uint64]retainedEnd), untold: make(map[key]bool), earlyReleases: make(map[key]time.Time),
+		runs: make(map[key]*run), recentEnds: make(map[key]recentEnd), retainedEnds: make(map[uint64]retainedEnd), untold: make(map[key]time.Time), earlyReleases: make(map[key]time.Time),
 		unansweredStarts: make(map[key]time.Time),
 		acquiredAt:       time.Now(), incarnation: u.Incarnation, health: newHealth(r.Log.With().Str("upstream", u.Name).Logger()),
 	}
--- a/lib/runner/reports.go
+++ b/lib/runner/reports.go
@@ -212,6 +212,11 @@
 			delete(h.recentEnds, k)
 		}
 	}
+	for k, until := range h.untold {
+		if now.After(until) {
+			delete(h.untold, k)
+		}
+	}
 	for k, at := range h.unansweredStarts {
 		if now.Sub(at) > lateOrderLimit {
 			delete(h.unansweredStarts, k)
--- a/lib/runner/settlement.go
+++ b/lib/runner/settlement.go
@@ -13,6 +13,8 @@
 	// endsKeptAfterRelease is how long the ends of kept jobs are kept that an upstream listed before
 	// this entry gave it up. A takeover of their jobs begins sooner.
 	endsKeptAfterRelease = 30 * time.Second
+	// untoldRetention is how long an end is kept of which no requester was told.
+	untoldRetention = 30 * time.Second
 )
 
 // confirmedSince reports whether this entry certainly owned its upstreams at the given time.
@@ -138,7 +140,7 @@
 	case r.requester != "" || !r.inherited || h.runner.discardsOrphaned():
 		return
 	}
-	h.untold[k] = true
+	h.untold[k] = time.Now().Add(untoldRetention)
 }
 
 // appendUntold appends the runs that were stopped or have lapsed and of which no requester was told, as
