--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -295,18 +295,23 @@
 // background reports whether a task is one of keepBusy.
 func background(task string) bool { return strings.HasPrefix(task, backgroundPrefix) }
 
+// setRunTime sets the run time of all tasks but those of keepBusy.
+func (c *cluster) setRunTime(d time.Duration) {
+	c.fleet.SetRunTime(func(task string) time.Duration {
+		if background(task) {
+			return 400 * time.Millisecond
+		}
+		return d
+	})
+}
+
 // cutWithJob starts a divided cluster, cuts domain a off while the four tasks of a job are at work
 // there that entry-1 of domain b holds, and adds upstreams in domain c. The tasks end as done after
 // 1.5 s, while other runs keep the leases in domain a alive.
 func cutWithJob(ctx context.Context, t *testing.T) *cluster {
 	c := newDividedCluster(t, 61, []string{"b", "a", "c", "c"}, []string{"a", "a", "a"})
 	go c.keepBusy(ctx, "a")
-	c.fleet.SetRunTime(func(task string) time.Duration {
-		if background(task) {
-			return 400 * time.Millisecond
-		}
-		return 4 * time.Second
-	})
+	c.setRunTime(4 * time.Second)
 	if s := c.alive()[0].submit("a", 4); s != coordinator.Accepted {
 		t.Fatalf("submitted job: state %v, want accepted", s)
 	}
@@ -429,12 +434,7 @@
 				c := newDividedCluster(t, 62, []string{"a", "a", "c", "c"}, []string{"a", "a", "a"})
 				defer c.stop()
 				go c.keepBusy(ctx, "a")
-				c.fleet.SetRunTime(func(task string) time.Duration {
-					if background(task) {
-						return 400 * time.Millisecond
-					}
-					return 5 * time.Second
-				})
+				c.setRunTime(5 * time.Second)
 				n := c.alive()[0]
 				if s := n.submit("a", 4); s != coordinator.Accepted {
 					t.Fatalf("submitted job: state %v, want accepted", s)
@@ -467,12 +467,7 @@
 		c := newDividedCluster(t, 63, []string{"c", "a?", "c"}, []string{"a", "a", "a"})
 		defer c.stop()
 		go c.keepBusy(ctx, "a")
-		c.fleet.SetRunTime(func(task string) time.Duration {
-			if background(task) {
-				return 400 * time.Millisecond
-			}
-			return 4 * time.Second
-		})
+		c.setRunTime(4 * time.Second)
 		if s := c.alive()[0].submit("a", 4); s != coordinator.Accepted {
 			t.Fatalf("submitted job: state %v, want accepted", s)
 		}
@@ -498,12 +493,7 @@
 				c := newDividedCluster(t, 64, []string{"b", "a", "c", "c"}, []string{"a", "a", "a", "c", "c", "c"})
 				defer c.stop()
 				go c.keepBusy(ctx, "a")
-				c.fleet.SetRunTime(func(task string) time.Duration {
-					if background(task) {
-						return 400 * time.Millisecond
-					}
-					return 9 * time.Second
-				})
+				c.setRunTime(9 * time.Second)
 				for _, domain := range []string{"a", "c"} {
 					j := job(domain, 4)
 					for i := range j.Steps {
