Ask all entries again before the jobs of a lost holder are taken over

The entry of a failure domain that was cut off was stopped as planned during the cut and back as it ended.

Cause: its upstreams were not listed yet when it answered the claim on its former holder. The answer names the registrations, which did not change as the upstreams were listed again, so it was not asked for another. The entries that waited for these upstreams stopped doing so as they were listed.

Change: entries wait for an upstream that vanished until it has answered its owner, listed or not; and once all have answered, all are asked once more: by then the owner knows the ends. That takes a round trip.

Ruled out: ends that got lost; the owner acknowledged them two seconds after the tasks had started again.

--- a/lib/keeper/claims.go
+++ b/lib/keeper/claims.go
@@ -16,6 +16,10 @@
 	// have not answered it since, answered the last answers.
 	sent     map[string]string
 	answered map[string]claimAnswer
+	// again is true once all entries have answered and were asked again. An upstream that was listed
+	// again meanwhile may have been unknown to its owner as it answered first, but the others waited
+	// until it had answered the owner.
+	again bool
 	// graceEnd is the earliest time of its first write.
 	graceEnd time.Time
 	// stopped holds the tasks whose last run is known to have ended without a result.
@@ -41,7 +45,7 @@
 // also by the registrations as the store has them now: an entry that has registered since may have
 // served its upstreams all the while.
 func (k *Keeper) claimsSettled(ctx context.Context, holder string) bool {
-	if !k.sendClaims(holder) {
+	if !k.sendClaims(holder) || k.askAgain(holder) {
 		return false
 	}
 	confirmed, err := k.Peers.Confirm(ctx)
@@ -52,6 +56,21 @@
 	return confirmed && k.sendClaims(holder)
 }
 
+// askAgain makes sendClaims ask all entries once more, and reports whether they had been asked only
+// once.
+func (k *Keeper) askAgain(holder string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.takeovers[holder]
+	if t.again {
+		return false
+	}
+	t.again = true
+	clear(t.sent)
+	clear(t.answered)
+	return true
+}
+
 // sendClaims sends the claim on a holder to every registered entry that has not got it
 // yet, or has answered it before the owners of the upstreams changed. It reports whether
 // the answers of all registered entries cover all upstreams.
--- a/lib/keeper/cluster_test.go
+++ b/lib/keeper/cluster_test.go
@@ -91,6 +91,7 @@
 	departures relinquisher.Ledger
 	vanished   relinquisher.Vanished
 	confirmer  *confirmer.Confirmer
+	members    atomic.Pointer[divider.Members]
 	// cutAt is when the entry was cut off from the store for the last time.
 	cutAt time.Time
 	// losesReleases makes the releases of stored ends get lost, losesNotices the notices of
@@ -137,7 +138,7 @@
 		old.cancel()
 	}
 	n.Coordinator = &coordinator.Coordinator{Self: name, Domain: c.domains[name], PeerTimeout: peerTimeout, Remote: n, Log: nopLog}
-	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, RenewableUntil: n.renewableUntil, SettledAt: n.departures.SettledAt, UnseenUntil: n.departures.UnseenUntil, MembersConfirmedSince: func(at time.Time) bool { return n.confirmer.ConfirmedSince(n.ctx, at) }, Log: nopLog}
+	n.runner = &runner.Runner{Client: upstreamLink{c.fleet, n}, Ended: n.sendEnd, Changed: n.publishState, Registered: n.isRegistered, RenewableUntil: n.renewableUntil, SettledAt: n.departures.SettledAt, UnseenUntil: n.departures.UnseenUntil, HasAnswered: n.hasAnswered, MembersConfirmedSince: func(at time.Time) bool { return n.confirmer.ConfirmedSince(n.ctx, at) }, Log: nopLog}
 	for _, domain := range c.domains {
 		n.departures.Domains = append(n.departures.Domains, domain)
 	}
@@ -333,14 +334,11 @@
 			}
 		}
 		n.departures.Apply(time.Now(), entries)
-		vanished := slices.DeleteFunc(n.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
-			owner, ok := divider.Owner(u.Name, u.Domain, members)
-			return !ok || n.IsReached(u.Name, owner)
-		})
+		division := divider.NewMembers(members)
+		n.members.Store(&division)
+		vanished := slices.DeleteFunc(n.vanished.Apply(time.Now(), list), n.hasAnswered)
 		n.runner.SetOwned(n.ctx, token, own)
-		n.runner.SetUnlisted(vanished, func(name string) bool {
-			return slices.ContainsFunc(list, func(u runner.Upstream) bool { return u.Name == name })
-		})
+		n.runner.SetUnlisted(vanished)
 		c.mu.Lock()
 		n.view = view
 		c.mu.Unlock()
@@ -461,6 +459,12 @@
 	return divider.NewView(n.Incarnations()), nil
 }
 
+// hasAnswered reports whether an upstream has answered the entry that owns it.
+func (n *node) hasAnswered(u runner.Upstream) bool {
+	owner, ok := n.members.Load().Owner(u.Name, u.Domain)
+	return ok && n.IsReached(u.Name, owner)
+}
+
 // knownView returns the view from which the upstreams of the entry were computed.
 func (n *node) knownView() divider.View {
 	n.cluster.mu.Lock()
--- a/lib/keeper/cut_domain_test.go
+++ b/lib/keeper/cut_domain_test.go
@@ -500,7 +500,7 @@
 						j.Steps[i].Label = "domain-" + domain
 					}
 					j.Steps[1].Label = ""
-					if s := c.alive()[0].keeper.Submit(ctx, j).State; s != coordinator.Accepted {
+					if s := c.alive()[0].keeper.Submit(t.Context(), j).State; s != coordinator.Accepted {
 						t.Fatalf("submitted job: state %v, want accepted", s)
 					}
 				}
@@ -514,8 +514,41 @@
 				}
 				time.Sleep(time.Until(c.cutAt.Add(6200 * time.Millisecond)))
 				c.healDomain()
+				// The runs of keepBusy take all places.
+				cancel()
 				c.checkJobs([]string{"a", "c"}, nil, 40*time.Second)
 			})
 		})
 	}
 }
+
+// Guards against TWICE: an entry restarts as the cut of its failure domain ends, and answers a claim on
+// its former holder before its upstreams are listed again, which list the ends of the holder's runs.
+func TestUpstreamsAreListedAgainAfterClaimWasAnswered(t *testing.T) {
+	withFakeTime(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newDividedCluster(t, 65, []string{"b", "a", "c", "c"}, []string{"a", "a", "a"})
+		defer c.stop()
+		go c.keepBusy(ctx, "a")
+		c.setRunTime(4 * time.Second)
+		if s := c.alive()[1].submit("a", 4); s != coordinator.Accepted {
+			t.Fatalf("submitted job: state %v, want accepted", s)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		c.addUpstreams("c", "c", "c")
+		c.cutDomain("a")
+		time.Sleep(6100 * time.Millisecond)
+		c.kill("entry-2")
+		c.mu.Lock()
+		c.cutOff = ""
+		c.mu.Unlock()
+		c.start("entry-2")
+		time.Sleep(400 * time.Millisecond)
+		c.listUpstreams(c.fleet.List())
+		c.checkJobs([]string{"a"}, nil, 40*time.Second)
+		if n := c.fleet.Starts("a.0.0.0"); n != 1 {
+			t.Errorf("a task that was done was started %d times, want once", n)
+		}
+	})
+}
--- a/lib/runner/owned.go
+++ b/lib/runner/owned.go
@@ -135,7 +135,7 @@
 	released bool
 	// releasedAt is when the ownership ended.
 	releasedAt time.Time
-	// unlisted is true if the upstream was given to SetUnlisted.
+	// unlisted is true if the upstream was given to SetUnlisted. It does not change.
 	unlisted bool
 	// relinquishing is true while the lease is left to expire, as this entry is not registered.
 	relinquishing bool
@@ -266,6 +266,13 @@
 	return h.upstream.Name
 }
 
+// registration returns the registration as this owner knows it.
+func (h *ownedUpstream) registration() Upstream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.upstream
+}
+
 func (h *ownedUpstream) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lib/runner/retention.go
+++ b/lib/runner/retention.go
@@ -338,6 +338,9 @@
 func (r *Runner) stopHolder(ctx context.Context, holder string, retiredAt time.Time) (known, all bool) {
 	known, all = true, r.UnseenUntil == nil || time.Now().After(r.UnseenUntil())
 	for _, h := range append(r.ownedUpstreams(), r.releasedUpstreams()...) {
+		if h.unlisted && r.HasAnswered != nil && r.HasAnswered(h.registration()) {
+			continue
+		}
 		if !h.stopHolder(ctx, holder, retiredAt) {
 			all = false
 			known = known && h.isUnreached()
--- a/lib/runner/runner.go
+++ b/lib/runner/runner.go
@@ -148,6 +148,9 @@
 	// SettledAt returns the time from which on no former owner that is not registered renews the
 	// lease of an upstream that this entry owns since the given time; nil means that none ever does.
 	SettledAt func(acquiredAt time.Time) time.Time
+	// HasAnswered reports whether an upstream has answered the entry that owns it now. It may lock the
+	// coordinator. nil means that none has.
+	HasAnswered func(u Upstream) bool
 	// UnseenUntil returns the time up to which former owners may serve upstreams that vanished from
 	// the list before this entry started; zero if there are none. nil means that there never are.
 	UnseenUntil func() time.Time
@@ -252,18 +255,17 @@
 
 // SetUnlisted names upstreams that have vanished from the list and are not known to have answered
 // their last owner, so that a former one that is not registered may still serve them. All entries
-// wait for these, as the last owner may be restarted and know nothing of them. Once one is listed again, its
-// owner answers for it.
-func (r *Runner) SetUnlisted(list []Upstream, listed func(upstream string) bool) {
+// wait for these until HasAnswered, also once they are listed again: their owner may be restarted and know
+// nothing of them, or have been asked before it read the list.
+func (r *Runner) SetUnlisted(list []Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := make(map[string]bool)
-	r.released = slices.DeleteFunc(r.released, func(h *ownedUpstream) bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		known[h.upstream.Name] = known[h.upstream.Name] || h.unlisted
-		return h.unlisted && listed(h.upstream.Name)
-	})
+	for _, h := range r.released {
+		if h.unlisted {
+			known[h.name()] = true
+		}
+	}
 	for _, u := range list {
 		if known[u.Name] {
 			continue
--- a/radishweir/internal/composer/composer.go
+++ b/radishweir/internal/composer/composer.go
@@ -111,6 +111,8 @@
 	// assignMu guards, which upstreams these may serve although the list lacks them.
 	departures relinquisher.Ledger
 	vanished   relinquisher.Vanished
+	// members are the registered entries from which the upstreams were divided last.
+	members atomic.Pointer[divider.Members]
 	// view is the divider.View from which the upstreams of this entry were computed; 0
 	// before they are known.
 	view     atomic.Uint64
@@ -172,7 +174,7 @@
 		Registered:            func() bool { return e.enroller.HoldsRegistration() },
 		HolderListed:          func(holder string) bool { return e.enroller.HolderListed(holder) },
 		MembersConfirmedSince: func(at time.Time) bool { return e.confirmer.ConfirmedSince(e.ctx, at) },
-		SettledAt:             e.departures.SettledAt, UnseenUntil: e.departures.UnseenUntil, RenewableUntil: e.renewableUntil,
+		SettledAt:             e.departures.SettledAt, UnseenUntil: e.departures.UnseenUntil, HasAnswered: e.hasAnswered, RenewableUntil: e.renewableUntil,
 		Evacuated: e.evacuated(), Observer: rec, Log: e.Log,
 	}
 	e.messenger = &messenger.Messenger{
--- a/radishweir/internal/composer/peers.go
+++ b/radishweir/internal/composer/peers.go
@@ -58,18 +58,14 @@
 			owned = append(owned, *u)
 		}
 	}
-	vanished := slices.DeleteFunc(e.vanished.Apply(time.Now(), list), func(u runner.Upstream) bool {
-		owner, ok := members.Owner(u.Name, u.Domain)
-		return !ok || e.coordinator.IsReached(u.Name, owner)
-	})
+	e.members.Store(&members)
+	vanished := slices.DeleteFunc(e.vanished.Apply(time.Now(), list), e.hasAnswered)
 	e.coordinator.SetNear(near)
 	e.coordinator.SetDomains(domains)
 	e.messenger.SetPeers(e.ctx, peers)
 	e.relayer.SetReaders(e.chooseListReaders(registrations, group))
 	e.runner.SetOwned(e.ctx, token, owned)
-	e.runner.SetUnlisted(vanished, func(name string) bool {
-		return slices.ContainsFunc(list, func(u runner.Upstream) bool { return u.Name == name })
-	})
+	e.runner.SetUnlisted(vanished)
 	if len(list) > 0 {
 		// Without the list of upstreams, this entry would vouch for none of those that it
 		// is about to own.
@@ -88,6 +84,12 @@
 	return out
 }
 
+// hasAnswered reports whether an upstream has answered the entry that owns it by the registrations.
+func (e *Entry) hasAnswered(u runner.Upstream) bool {
+	owner, ok := e.members.Load().Owner(u.Name, u.Domain)
+	return ok && e.coordinator.IsReached(u.Name, owner)
+}
+
 // readView reads the registered entries from the store.
 func (e *Entry) readView(ctx context.Context) (divider.View, error) {
 	incarnations, err := e.enroller.ReadMembers(ctx)
