--- a/lib/keeper/early.go
+++ b/lib/keeper/settled_jobs.go
@@ -38,6 +38,8 @@
 	}
 	self, err := k.Identity.EnsureHolder(ctx)
 	if err != nil {
+		// The takeover as a whole tries again.
+		k.Log.Info().Str("holder", holder).Err(err).Msg("settled_jobs_not_taken_over")
 		return
 	}
 	records, err := k.list(ctx)
